--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PROGRAMS := balsam-entry balsam-ctl balsam-load balsam-standin
+SEEDS ?= 5
+
+.PHONY: build test race lint run bench gobench generate clean
+
+build:
+	@mkdir -p bin
+	go build -o bin/ $(PROGRAMS:%=./cmd/%)
+
+# Runs every test with the race detector.
+test:
+	go test -race -timeout 8m $(if $(SKIP),-skip '$(SKIP)') ./...
+
+lint:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+# Starts stand-ins and three entries on loopback, sends queries and prints the answers.
+run: build
+	scripts/demo.sh bin
+
+# Measures the policies, off and on, against the stand-ins.
+bench: build
+	@mkdir -p out
+	scripts/bench.sh bin $(SEEDS) out/bench.json
+
+# Runs the Go benchmarks of the decisions.
+gobench:
+	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./internal/entry/...
+
+generate:
+	protocol/peerpb/generate.sh
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/cmd/balsam-ctl/main.go
@@ -0,0 +1,4 @@
+// Command balsam-ctl is part of balsamstall.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsam-entry/main.go
@@ -0,0 +1,4 @@
+// Command balsam-entry is part of balsamstall.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsam-load/main.go
@@ -0,0 +1,4 @@
+// Command balsam-load is part of balsamstall.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/balsam-standin/main.go
@@ -0,0 +1,4 @@
+// Command balsam-standin is part of balsamstall.
+package main
+
+func main() {}
--- /dev/null
+++ b/protocol/status/http.go
@@ -0,0 +1,42 @@
+package status
+
+import "net/http"
+
+var httpStatus = map[Code]int{
+	InvalidArgument:    http.StatusBadRequest,
+	Unauthenticated:    http.StatusUnauthorized,
+	PermissionDenied:   http.StatusForbidden,
+	NotFound:           http.StatusNotFound,
+	TooLarge:           http.StatusRequestEntityTooLarge,
+	Overloaded:         http.StatusServiceUnavailable,
+	DeadlineExceeded:   http.StatusGatewayTimeout,
+	Canceled:           499,
+	Draining:           http.StatusServiceUnavailable,
+	NotReady:           http.StatusServiceUnavailable,
+	Shed:               http.StatusServiceUnavailable,
+	VersionUnavailable: http.StatusConflict,
+	PermitRequired:     http.StatusPreconditionRequired,
+	PermitInvalid:      http.StatusForbidden,
+	PermitExpired:      http.StatusGone,
+	PermitVoid:         http.StatusGone,
+	IssuerUnreachable:  http.StatusBadGateway,
+	Quarantined:        http.StatusUnprocessableEntity,
+	ReplyMismatch:      http.StatusBadGateway,
+	ConnectionFailed:   http.StatusBadGateway,
+	ConnectionSilent:   http.StatusBadGateway,
+	NoReplica:          http.StatusServiceUnavailable,
+	RetryBudget:        http.StatusServiceUnavailable,
+	RevisionConflict:   http.StatusConflict,
+	RevisionTooOld:     http.StatusConflict,
+	Unavailable:        http.StatusServiceUnavailable,
+	RateLimited:        http.StatusTooManyRequests,
+}
+
+// HTTPStatus returns the HTTP status code for c. Codes without an entry of
+// their own map to 500.
+func HTTPStatus(c Code) int {
+	if s, ok := httpStatus[c]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
