--- /dev/null
+++ b/transport/callerhttp/server.go
@@ -0,0 +1,140 @@
+// Package callerhttp serves callers over HTTP/JSON with kratos' HTTP transport.
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"golang.org/x/net/netutil"
+
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// Limits of a caller's connection. A slow or broken client cannot hold an
+// entry's resources for longer.
+const (
+	// MaxHeaderBytes bounds a request's header.
+	MaxHeaderBytes = 16 << 10
+	// ReadTimeout bounds the time in which a whole request must arrive.
+	ReadTimeout = 5 * time.Second
+	// WriteTimeout bounds the time from the end of a request's header to the
+	// end of its answer. It exceeds the longest deadline of a service.
+	WriteTimeout = 70 * time.Second
+	// IdleTimeout bounds the wait for the next request on a connection.
+	IdleTimeout = 60 * time.Second
+)
+
+// Call is one authenticated-to-be request of a caller.
+type Call struct {
+	// Key is the bearer key that the caller sent.
+	Key string
+	// Search is the decoded body.
+	Search callerapi.SearchRequest
+	// Arrival is the time at which the header had been read.
+	Arrival time.Time
+}
+
+// Reply is a complete HTTP answer.
+type Reply struct {
+	// Status is the HTTP status code.
+	Status int
+	// Body is a callerapi.SearchResponse, or a callerapi.ErrorResponse, as JSON.
+	Body []byte
+	// RetryAfter is the recommended time to come back, zero for none.
+	RetryAfter time.Duration
+}
+
+// Handler runs searches.
+type Handler interface {
+	// Search runs one call and always returns a reply.
+	Search(ctx context.Context, call Call) Reply
+	// Refuse builds the reply for a request that was refused before it ran.
+	Refuse(err *status.Error) Reply
+}
+
+// Options are the limits of a server.
+type Options struct {
+	MaxBodyBytes   int64
+	MaxConnections int
+}
+
+// NewServer returns a kratos server on lis.
+func NewServer(lis net.Listener, h Handler, opt Options) *khttp.Server {
+	srv := khttp.NewServer(
+		khttp.Listener(netutil.LimitListener(lis, opt.MaxConnections)),
+		khttp.Timeout(WriteTimeout),
+		khttp.NotFoundHandler(refusal(h, status.NotFound, "unknown path")),
+		khttp.MethodNotAllowedHandler(refusal(h, status.InvalidArgument, "method not allowed")),
+	)
+	srv.ReadHeaderTimeout = ReadTimeout
+	srv.ReadTimeout = ReadTimeout
+	srv.WriteTimeout = WriteTimeout
+	srv.IdleTimeout = IdleTimeout
+	srv.MaxHeaderBytes = MaxHeaderBytes
+	srv.Route("/").POST(callerapi.SearchPath, func(c khttp.Context) error {
+		serveSearch(c.Response(), c.Request(), h, opt.MaxBodyBytes)
+		return nil
+	})
+	return srv
+}
+
+func refusal(h Handler, code status.Code, message string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		write(w, h.Refuse(status.New(code, status.NotRun, "%s", message)))
+	})
+}
+
+func serveSearch(w http.ResponseWriter, r *http.Request, h Handler, maxBody int64) {
+	arrival := time.Now()
+	var search callerapi.SearchRequest
+	if err := decodeBody(http.MaxBytesReader(w, r.Body, maxBody), &search); err != nil {
+		write(w, h.Refuse(err))
+		return
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		write(w, h.Refuse(status.New(status.Unauthenticated, status.NotRun, "the header Authorization: Bearer KEY is missing")))
+		return
+	}
+	write(w, h.Search(r.Context(), Call{Key: key, Search: search, Arrival: arrival}))
+}
+
+func decodeBody(body io.Reader, dst *callerapi.SearchRequest) *status.Error {
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	err := dec.Decode(dst)
+	if err == nil {
+		if _, trailing := dec.Token(); trailing != io.EOF {
+			return status.New(status.InvalidArgument, status.NotRun, "the body holds more than one JSON value")
+		}
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return status.New(status.TooLarge, status.NotRun, "the body exceeds %d bytes", tooLarge.Limit)
+	}
+	return status.Wrap(err, status.InvalidArgument, status.NotRun, "the body is not a valid search request")
+}
+
+func write(w http.ResponseWriter, reply Reply) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	if reply.RetryAfter > 0 {
+		// Retry-After counts whole seconds; the body holds milliseconds.
+		seconds := int64((reply.RetryAfter + time.Second - 1) / time.Second)
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(reply.Status)
+	// A failed write means that the client went away; nothing is left to tell it.
+	_, _ = w.Write(reply.Body)
+}
--- /dev/null
+++ b/transport/targethttp/client.go
@@ -0,0 +1,332 @@
+// Package targethttp sends attempts to targets over HTTP/1.1.
+//
+// It keeps its own connection pool per target and uses net/http only to parse
+// replies. The outcome of an attempt depends on whether a byte was handed to
+// the connection, and a silent connection must be told apart from a slow
+// target; net/http's own pool shows neither.
+package targethttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+// Limits of one attempt.
+const (
+	// MaxReplyBytes bounds a reply with its header.
+	MaxReplyBytes = 1 << 20
+	// DefaultDialTimeout bounds the opening of a connection.
+	DefaultDialTimeout = time.Second
+)
+
+// Options change how one attempt is sent.
+type Options struct {
+	// FreshConnection sends on a connection that was never used before.
+	FreshConnection bool
+	// SilentAfter is the time without a reply after which the connection
+	// counts as silent, if other connections to the target had replies
+	// meanwhile. Zero turns the check off.
+	SilentAfter time.Duration
+}
+
+// Client sends attempts to any number of targets.
+type Client struct {
+	dial dialer
+
+	mu sync.RWMutex
+	// pools holds one pool per target id. Guarded by mu.
+	pools map[string]*pool
+
+	metrics Metrics
+}
+
+// Metrics receives counts of connection events. All methods must be safe for
+// concurrent use.
+type Metrics interface {
+	SilentConnection()
+	ReplyMismatch()
+}
+
+// New returns a client without connections.
+func New(m Metrics) *Client {
+	return &Client{
+		dial:    &net.Dialer{Timeout: DefaultDialTimeout},
+		pools:   make(map[string]*pool),
+		metrics: m,
+	}
+}
+
+// Configure sets the known targets and this entry's share of the connections
+// to each. Pools of other targets are closed.
+func (c *Client) Configure(targets []sheet.Target, share func(sheet.Target) int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	keep := make(map[string]*pool, len(targets))
+	for _, t := range targets {
+		p := c.pools[t.ID]
+		if p == nil || p.address != t.Address {
+			p = &pool{address: t.Address, dial: c.dial}
+		}
+		p.setLimit(share(t))
+		keep[t.ID] = p
+	}
+	for id, p := range c.pools {
+		if keep[id] != p {
+			p.close()
+		}
+	}
+	c.pools = keep
+}
+
+// Connections returns the number of open connections to a target.
+func (c *Client) Connections(target string) int {
+	if p := c.pool(target); p != nil {
+		return p.openCount()
+	}
+	return 0
+}
+
+// Close closes every pool.
+func (c *Client) Close() { c.Configure(nil, nil) }
+
+// DropIdle closes the idle connections to every target. It is called when the
+// process notices that it was paused.
+func (c *Client) DropIdle() {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, p := range c.pools {
+		p.dropIdle(time.Now())
+	}
+}
+
+func (c *Client) pool(target string) *pool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.pools[target]
+}
+
+// Reachable reports whether a new connection to the target can be opened. The
+// connection is closed at once.
+func (c *Client) Reachable(ctx context.Context, target string) bool {
+	p := c.pool(target)
+	if p == nil {
+		return false
+	}
+	nc, err := c.dial.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return false
+	}
+	nc.Close()
+	return true
+}
+
+// Search sends one attempt and returns the target's reply.
+//
+// Every error is a *status.Error. Its outcome is NotRun when no byte was
+// written or the target said so, and Unknown otherwise. The context's deadline
+// and cancellation end the attempt by closing the connection, which cancels
+// the work on the target.
+func (c *Client) Search(ctx context.Context, target string, req *targetapi.SearchRequest, opt Options) (*targetapi.SearchReply, error) {
+	p := c.pool(target)
+	if p == nil {
+		return nil, status.New(status.NoReplica, status.NotRun, "target %s is not in the sheet", target)
+	}
+	message, err := encode(p.address, req)
+	if err != nil {
+		return nil, status.Wrap(err, status.Internal, status.NotRun, "encoding an attempt")
+	}
+	cn, err := p.acquire(ctx, opt.FreshConnection)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{client: c, pool: p, conn: cn, target: target, started: time.Now()}
+	return x.run(ctx, message, req.Identity, opt.SilentAfter)
+}
+
+func encode(address string, req *targetapi.SearchRequest) ([]byte, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	message := make([]byte, 0, len(body)+160)
+	message = append(message, "POST "+targetapi.SearchPath+" HTTP/1.1\r\nHost: "...)
+	message = append(message, address...)
+	message = append(message, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	message = strconv.AppendInt(message, int64(len(body)), 10)
+	message = append(message, "\r\n\r\n"...)
+	return append(message, body...), nil
+}
+
+// exchange is one request and its reply on one connection.
+type exchange struct {
+	client  *Client
+	pool    *pool
+	conn    *conn
+	target  string
+	started time.Time
+
+	mu     sync.Mutex
+	silent bool // Guarded by mu.
+}
+
+func (x *exchange) run(ctx context.Context, message []byte, want targetapi.Identity, silentAfter time.Duration) (*targetapi.SearchReply, error) {
+	deadline, _ := ctx.Deadline()
+	x.conn.SetDeadline(deadline)
+	stop := context.AfterFunc(ctx, x.interrupt)
+	defer stop()
+	stopSilence := func() bool { return true }
+	if silentAfter > 0 {
+		stopSilence = time.AfterFunc(silentAfter, x.checkSilence).Stop
+	}
+	defer stopSilence()
+	if n, err := x.conn.Write(message); err != nil {
+		x.pool.discard(x.conn)
+		outcome := status.Unknown
+		if n == 0 {
+			outcome = status.NotRun
+		}
+		return nil, x.ioError(ctx, err, outcome)
+	}
+	code, body, reusable, err := x.readReply()
+	if err != nil {
+		x.pool.discard(x.conn)
+		return nil, x.ioError(ctx, err, status.Unknown)
+	}
+	reply, err := decodeReply(code, body, want)
+	if status.CodeOf(err) == status.ReplyMismatch {
+		x.client.metrics.ReplyMismatch()
+		reusable = false
+	}
+	// A check that already started may still interrupt the connection, which
+	// must then serve no other attempt.
+	if !stop() || !stopSilence() {
+		reusable = false
+	}
+	if !reusable {
+		x.pool.discard(x.conn)
+		return reply, err
+	}
+	now := time.Now()
+	x.conn.lastReply = now
+	x.pool.replied(now)
+	x.pool.release(x.conn)
+	return reply, err
+}
+
+// interrupt makes pending reads and writes return at once.
+func (x *exchange) interrupt() { x.conn.SetDeadline(time.Unix(1, 0)) }
+
+// checkSilence ends the exchange when other connections to the target had
+// replies since it began: the target works, so the connection does not.
+func (x *exchange) checkSilence() {
+	if !x.pool.repliedSince(x.started) {
+		return
+	}
+	x.mu.Lock()
+	x.silent = true
+	x.mu.Unlock()
+	x.client.metrics.SilentConnection()
+	// Connections without a reply since then may have gone silent with this one.
+	x.pool.dropIdle(x.started)
+	x.interrupt()
+}
+
+func (x *exchange) readReply() (code int, body []byte, reusable bool, err error) {
+	x.conn.allow(MaxReplyBytes)
+	resp, err := http.ReadResponse(x.conn.reader, nil)
+	if err != nil {
+		return 0, nil, false, err
+	}
+	defer resp.Body.Close()
+	body, err = readAll(resp)
+	if err != nil {
+		return 0, nil, false, err
+	}
+	return resp.StatusCode, body, !resp.Close, nil
+}
+
+func readAll(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > MaxReplyBytes {
+		return nil, status.New(status.TooLarge, status.Unknown, "reply of %d bytes", resp.ContentLength)
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	return io.ReadAll(resp.Body)
+}
+
+// ioError classifies a failed read or write.
+func (x *exchange) ioError(ctx context.Context, err error, outcome status.Outcome) error {
+	x.mu.Lock()
+	silent := x.silent
+	x.mu.Unlock()
+	switch {
+	case silent:
+		return status.Wrap(err, status.ConnectionSilent, outcome, "connection to target %s is silent", x.target)
+	case ctx.Err() != nil:
+		return contextError(ctx, outcome, "attempt at target "+x.target)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return status.Wrap(err, status.DeadlineExceeded, outcome, "attempt at target %s", x.target)
+	}
+	return status.Wrap(err, status.ConnectionFailed, outcome, "attempt at target %s", x.target)
+}
+
+func contextError(ctx context.Context, outcome status.Outcome, what string) error {
+	code := status.Canceled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = status.DeadlineExceeded
+	}
+	return status.Wrap(context.Cause(ctx), code, outcome, "%s", what)
+}
+
+// decodeReply checks a reply against the identity of the attempt.
+func decodeReply(code int, body []byte, want targetapi.Identity) (*targetapi.SearchReply, error) {
+	if code != http.StatusOK {
+		return nil, decodeRefusal(code, body, want)
+	}
+	var reply targetapi.SearchReply
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&reply); err != nil {
+		return nil, status.Wrap(err, status.ReplyMismatch, status.Unknown, "reply is not valid JSON")
+	}
+	if reply.Identity != want {
+		return nil, status.New(status.ReplyMismatch, status.Unknown, "reply names request %s attempt %d shard %d", reply.RequestID, reply.Attempt, reply.Shard)
+	}
+	for _, h := range reply.Hits {
+		if h.Workspace != "" && h.Workspace != want.Workspace {
+			return nil, status.New(status.ReplyMismatch, status.Unknown, "reply holds a hit of another workspace")
+		}
+	}
+	return &reply, nil
+}
+
+func decodeRefusal(code int, body []byte, want targetapi.Identity) error {
+	var r targetapi.Refusal
+	if err := json.Unmarshal(body, &r); err != nil || r.Identity != want {
+		return status.New(status.ReplyMismatch, status.Unknown, "refusal with status %d does not name the attempt", code)
+	}
+	outcome := status.Unknown
+	if r.NotRun {
+		outcome = status.NotRun
+	}
+	if r.Code == "" {
+		r.Code = status.Internal
+	}
+	e := status.New(r.Code, outcome, "target refused: %s", r.Message)
+	e.RetryAfter = time.Duration(r.RetryAfterMS) * time.Millisecond
+	return e
+}
--- /dev/null
+++ b/transport/targethttp/pool.go
@@ -0,0 +1,250 @@
+package targethttp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// dialer opens connections. net.Dialer implements it.
+type dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// pool holds the connections to one target.
+type pool struct {
+	address string
+	dial    dialer
+
+	mu sync.Mutex
+	// idle is a stack, so that surplus connections age out. Guarded by mu.
+	idle []*conn
+	// open counts idle, busy and dialling connections. Guarded by mu.
+	open int
+	// limit is this entry's share of the target's connection cap. Guarded by mu.
+	limit int
+	// waiters are served first come, first served. Guarded by mu.
+	waiters []chan *conn
+	// lastReply is the time of the last reply on any connection. Guarded by mu.
+	lastReply time.Time
+	// closed is set when the target left the sheet. Guarded by mu.
+	closed bool
+}
+
+// acquire returns an idle connection, opens one within the limit, or waits for
+// one. With fresh set it never returns a connection that was used before.
+// Every error has the outcome NotRun.
+func (p *pool) acquire(ctx context.Context, fresh bool) (*conn, error) {
+	for {
+		p.mu.Lock()
+		if p.closed {
+			p.mu.Unlock()
+			return nil, status.New(status.ConnectionFailed, status.NotRun, "target %s was removed", p.address)
+		}
+		if !fresh && len(p.idle) > 0 {
+			c := p.idle[len(p.idle)-1]
+			p.idle = p.idle[:len(p.idle)-1]
+			p.mu.Unlock()
+			if c.alive() {
+				return c, nil
+			}
+			p.discard(c)
+			continue
+		}
+		if fresh && p.open >= p.limit && len(p.idle) > 0 {
+			// Makes room for a new connection by closing the oldest idle one.
+			c := p.idle[0]
+			p.idle = p.idle[1:]
+			p.open--
+			p.mu.Unlock()
+			c.Close()
+			continue
+		}
+		if p.open < p.limit {
+			p.open++
+			p.mu.Unlock()
+			return p.connect(ctx)
+		}
+		ready := make(chan *conn, 1)
+		p.waiters = append(p.waiters, ready)
+		p.mu.Unlock()
+		c, err := p.await(ctx, ready)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			continue // A slot became free.
+		}
+		if fresh || !c.alive() {
+			p.discard(c)
+			continue
+		}
+		return c, nil
+	}
+}
+
+// await waits for a connection or, with a nil result, for a free slot.
+func (p *pool) await(ctx context.Context, ready chan *conn) (*conn, error) {
+	select {
+	case c := <-ready:
+		return c, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	for i, w := range p.waiters {
+		if w == ready {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mu.Unlock()
+			return nil, contextError(ctx, status.NotRun, "no connection to target "+p.address+" became free")
+		}
+	}
+	p.mu.Unlock()
+	// The wake-up came at the same moment; it passes to the next waiter.
+	if c := <-ready; c != nil {
+		p.release(c)
+	} else {
+		p.wake()
+	}
+	return nil, contextError(ctx, status.NotRun, "no connection to target "+p.address+" became free")
+}
+
+// connect opens a connection for a slot that the caller holds.
+func (p *pool) connect(ctx context.Context) (*conn, error) {
+	nc, err := p.dial.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		p.wake()
+		if ctx.Err() != nil {
+			return nil, contextError(ctx, status.NotRun, "dialling target "+p.address)
+		}
+		return nil, status.Wrap(err, status.ConnectionFailed, status.NotRun, "dialling target %s", p.address)
+	}
+	return newConn(nc, time.Now()), nil
+}
+
+// release returns a healthy connection to the pool.
+func (p *pool) release(c *conn) {
+	p.mu.Lock()
+	if p.closed || p.open > p.limit {
+		p.open--
+		p.mu.Unlock()
+		c.Close()
+		return
+	}
+	if len(p.waiters) > 0 {
+		w := p.waiters[0]
+		p.waiters = p.waiters[1:]
+		p.mu.Unlock()
+		w <- c
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+// discard closes a connection and frees its slot.
+func (p *pool) discard(c *conn) {
+	c.Close()
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+	p.wake()
+}
+
+// wake tells the first waiter that a slot is free.
+func (p *pool) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.waiters) == 0 || p.open >= p.limit {
+		return
+	}
+	w := p.waiters[0]
+	p.waiters = p.waiters[1:]
+	w <- nil
+}
+
+// replied records a reply at now.
+func (p *pool) replied(now time.Time) {
+	p.mu.Lock()
+	if now.After(p.lastReply) {
+		p.lastReply = now
+	}
+	p.mu.Unlock()
+}
+
+// repliedSince reports whether any connection had a reply after t.
+func (p *pool) repliedSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastReply.After(t)
+}
+
+// dropIdle closes the idle connections whose last reply came before t.
+// It returns their number.
+func (p *pool) dropIdle(t time.Time) int {
+	p.mu.Lock()
+	var stale []*conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.lastReply.Before(t) {
+			stale = append(stale, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
+	p.open -= len(stale)
+	p.mu.Unlock()
+	for _, c := range stale {
+		c.Close()
+		p.wake()
+	}
+	return len(stale)
+}
+
+// setLimit changes the share and closes idle connections above it.
+func (p *pool) setLimit(n int) {
+	p.mu.Lock()
+	p.limit = max(n, 1)
+	var surplus []*conn
+	for p.open > p.limit && len(p.idle) > 0 {
+		surplus = append(surplus, p.idle[0])
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	p.mu.Unlock()
+	for _, c := range surplus {
+		c.Close()
+	}
+	p.wake()
+}
+
+// openCount returns the number of open connections.
+func (p *pool) openCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// close closes the idle connections; busy ones close when they are released.
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	waiters := p.waiters
+	p.waiters = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+	for _, w := range waiters {
+		w <- nil
+	}
+}
