Add the transport between entries

Entries need Forward, Exchange, Fetch and Handover over drpc with mutual authentication. Failures before the first byte of a call are NotRun, all others Unknown.

--- /dev/null
+++ b/transport/peerrpc/doc.go
@@ -0,0 +1,51 @@
+// Package peerrpc carries the protocol between entries (protocol/peerpb) over
+// drpc. Each connection starts with a mutual challenge-response authentication
+// with the shared peer key. A drpc connection runs one call at a time, so the
+// Pool keeps several connections for each address.
+//
+// Every error of the Pool is a *status.Error. Its outcome is NotRun only when
+// no byte of the call was sent: the dial or the handshake failed, the message
+// was too large, or the call's time ended while it waited for a connection.
+package peerrpc
+
+import (
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+// MaxMessageBytes bounds one message in either direction. It leaves room for a
+// document of 1 MB and for a part of a journal.
+const MaxMessageBytes = 4 << 20
+
+// frameOverheadBytes is added to the reader's limit for the framing of a message.
+const frameOverheadBytes = 64 << 10
+
+// retainedBufferBytes is the size above which a connection drops its buffer
+// after a message, so that rare large messages do not raise memory for good.
+const retainedBufferBytes = 64 << 10
+
+// writeTimeout bounds each write to a connection. A peer that stops reading
+// would otherwise block the writer for as long as TCP retransmits.
+const writeTimeout = 10 * time.Second
+
+func managerOptions(inactivity time.Duration) drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes + frameOverheadBytes},
+		Stream:            drpcstream.Options{MaximumBufferSize: retainedBufferBytes},
+		InactivityTimeout: inactivity,
+	}
+}
+
+// boundedConn sets a deadline on every write.
+type boundedConn struct{ net.Conn }
+
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/transport/peerrpc/errors.go
@@ -0,0 +1,67 @@
+package peerrpc
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"storj.io/drpc/drpcerr"
+)
+
+// codeStatus marks a drpc error whose text is a wireError as JSON.
+const codeStatus = 1000
+
+// wireError is a status.Error as it travels between entries. The cause stays
+// on the entry where it occurred.
+type wireError struct {
+	Code         status.Code `json:"code"`
+	Message      string      `json:"message"`
+	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
+}
+
+// Error returns the JSON text, because drpc sends the text of an error.
+func (e wireError) Error() string {
+	text, err := json.Marshal(e)
+	if err != nil {
+		return `{"code":"internal","message":"error could not be encoded"}`
+	}
+	return string(text)
+}
+
+func encodeError(err error) error {
+	e := status.From(err)
+	return drpcerr.WithCode(wireError{Code: e.Code, Message: e.Message, RetryAfterMS: e.RetryAfter.Milliseconds()}, codeStatus)
+}
+
+// decodeError returns the error that a peer sent, and whether err is one. After
+// such an error the connection is in order.
+func decodeError(err error) (*status.Error, bool) {
+	if drpcerr.Code(err) != codeStatus {
+		return nil, false
+	}
+	// errs and drpcerr wrap the text without a prefix of their own.
+	var wire wireError
+	if json.Unmarshal([]byte(err.Error()), &wire) != nil || wire.Code == "" {
+		return nil, false
+	}
+	e := status.New(wire.Code, status.Unknown, "%s", wire.Message)
+	return e.WithRetryAfter(time.Duration(wire.RetryAfterMS) * time.Millisecond), true
+}
+
+// callFailed classifies the error of a call whose first byte may have been sent.
+func callFailed(ctx context.Context, err error, address string) *status.Error {
+	return status.Wrap(err, contextCode(ctx, err, status.ConnectionFailed), status.Unknown, "call to peer %s", address)
+}
+
+// contextCode returns the code of an ended context, else the fallback.
+func contextCode(ctx context.Context, err error, fallback status.Code) status.Code {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return status.DeadlineExceeded
+	case ctx.Err() != nil:
+		return status.Canceled
+	}
+	return fallback
+}
--- /dev/null
+++ b/transport/peerrpc/peerrpc_test.go
@@ -0,0 +1,183 @@
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+)
+
+var testKey = []byte("0123456789abcdef0123456789abcdef")
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handler answers Forward when release is closed.
+type handler struct {
+	peerpb.DRPCPeerUnimplementedServer
+	entered chan struct{}
+	release chan struct{}
+}
+
+func (h *handler) Forward(ctx context.Context, in *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+	h.entered <- struct{}{}
+	select {
+	case <-h.release:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return &peerpb.ForwardReply{HttpStatus: 200, Body: in.Search}, nil
+}
+
+func (h *handler) Fetch(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return nil, status.New(status.NotReady, "", "no document").WithRetryAfter(time.Second)
+}
+
+// start serves h on loopback and returns the address. The test waits for the
+// server to end.
+func start(t *testing.T, h *handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- NewServer(testKey, h, zerolog.Nop()).Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-done)
+	})
+	return listener.Addr().String()
+}
+
+func newHandler() *handler {
+	return &handler{entered: make(chan struct{}, 64), release: make(chan struct{})}
+}
+
+// Guards against calls to one peer waiting for each other, since a drpc
+// connection carries one call at a time, and against answers being mixed up.
+func TestConcurrentCallsToOnePeer(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	address := start(t, h)
+	pool := NewPool(testKey, Options{})
+	defer pool.Close()
+	const calls = 8
+	var wg sync.WaitGroup
+	replies := make([]*peerpb.ForwardReply, calls)
+	errs := make([]error, calls)
+	for i := range calls {
+		wg.Go(func() {
+			replies[i], errs[i] = pool.Forward(context.Background(), address, &peerpb.ForwardRequest{Search: []byte{byte(i)}})
+		})
+	}
+	for range calls {
+		<-h.entered // All calls run at once.
+	}
+	close(h.release)
+	wg.Wait()
+	for i := range calls {
+		is.NoErr(errs[i])
+		is.Equal(replies[i].Body, []byte{byte(i)})
+	}
+}
+
+// Guards against an entry with another key being served, and against the
+// refusal being reported as if the call might have run.
+func TestOtherKeyIsRefusedAndNotRun(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	address := start(t, h)
+	pool := NewPool([]byte("another key of at least 32 bytes"), Options{})
+	defer pool.Close()
+	_, err := pool.Forward(context.Background(), address, &peerpb.ForwardRequest{})
+	is.Equal(status.From(err).Code, status.Unauthenticated)
+	is.Equal(status.From(err).Outcome, status.NotRun)
+	is.Equal(len(h.entered), 0)
+}
+
+// Guards against a client that does not hold the key being served after it
+// ignores the server's proof.
+func TestServerRefusesWrongClientProof(t *testing.T) {
+	is := is.New(t)
+	client, server := net.Pipe()
+	defer client.Close()
+	result := make(chan error, 1)
+	deadline := time.Now().Add(time.Minute)
+	go func() {
+		result <- serverHandshake(server, testKey, deadline)
+		server.Close()
+	}()
+	_, err := client.Write(append([]byte(handshakeMagic), make([]byte, nonceSize)...))
+	is.NoErr(err)
+	reply := make([]byte, nonceSize+32)
+	_, err = client.Read(reply)
+	is.NoErr(err)
+	_, err = client.Write(reply[nonceSize:]) // The server's own proof, reflected.
+	is.NoErr(err)
+	is.Equal(status.CodeOf(<-result), status.Unauthenticated)
+}
+
+// Guards against a failed dial being reported as possibly run.
+func TestFailedDialIsNotRun(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	listener.Close()
+	pool := NewPool(testKey, Options{})
+	defer pool.Close()
+	_, err = pool.Forward(context.Background(), address, &peerpb.ForwardRequest{})
+	is.Equal(status.From(err).Code, status.ConnectionFailed)
+	is.Equal(status.From(err).Outcome, status.NotRun)
+}
+
+// Guards against a silent connection being used again, and against a call that
+// was sent being reported as not run.
+func TestSilentConnectionIsClosedAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	h := newHandler()
+	address := start(t, h)
+	pool := NewPool(testKey, Options{})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := pool.Forward(ctx, address, &peerpb.ForwardRequest{})
+	is.Equal(status.From(err).Code, status.DeadlineExceeded)
+	is.Equal(status.From(err).Outcome, status.Unknown)
+	_, left := pool.idle.Take(address)
+	is.True(!left)
+	close(h.release)
+	_, err = pool.Forward(context.Background(), address, &peerpb.ForwardRequest{})
+	is.NoErr(err)
+}
+
+// Guards against the code and the retry time of a peer's refusal getting lost,
+// and against such a refusal costing the connection.
+func TestErrorOfThePeerKeepsItsCode(t *testing.T) {
+	is := is.New(t)
+	address := start(t, newHandler())
+	pool := NewPool(testKey, Options{})
+	defer pool.Close()
+	_, err := pool.Fetch(context.Background(), address, &peerpb.FetchRequest{Key: "sheet"})
+	is.Equal(status.From(err).Code, status.NotReady)
+	is.Equal(status.From(err).RetryAfter, time.Second)
+	conn, kept := pool.idle.Take(address)
+	is.True(kept)
+	conn.Close()
+}
+
+// Guards against unbounded messages.
+func TestTooLargeMessageIsNotSent(t *testing.T) {
+	is := is.New(t)
+	pool := NewPool(testKey, Options{})
+	defer pool.Close()
+	_, err := pool.Forward(context.Background(), "127.0.0.1:1", &peerpb.ForwardRequest{Search: make([]byte, MaxMessageBytes+1)})
+	is.Equal(status.From(err).Code, status.TooLarge)
+	is.Equal(status.From(err).Outcome, status.NotRun)
+}
