--- /dev/null
+++ b/internal/standin/platform/http.go
@@ -0,0 +1,167 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// maxWaitMS bounds the wait of a watch in milliseconds.
+const maxWaitMS = 60_000
+
+// ErrorReply is the body of every reply with a status of 400 or above.
+type ErrorReply struct {
+	Code         status.Code `json:"code"`
+	Message      string      `json:"message"`
+	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
+}
+
+// PublishReply is the body of the reply to PUT /control/config/{key}.
+type PublishReply struct {
+	Version uint64 `json:"version"`
+}
+
+func (p *Platform) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platformapi.ConfigPath+"{key}", p.getConfig)
+	mux.HandleFunc("GET "+platformapi.WatchPath+"{key}", p.watch)
+	mux.HandleFunc("GET "+platformapi.HostsPath, p.getHosts)
+	mux.HandleFunc("PUT /control/config/{key}", p.putConfig)
+	mux.HandleFunc("PUT /control/hosts", p.putHosts)
+	return mux
+}
+
+func (p *Platform) getConfig(w http.ResponseWriter, r *http.Request) {
+	doc, _ := p.newest(r.PathValue("key"))
+	if doc == nil {
+		sendError(w, status.New(status.NotFound, "", "key %q has no value", r.PathValue("key")))
+		return
+	}
+	sendJSON(w, http.StatusOK, doc)
+}
+
+// newest returns the newest version of key, or nil, and a channel that is
+// closed when a newer one appears.
+func (p *Platform) newest(key string) (*platformapi.Document, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.history(key)
+	if len(h.versions) == 0 {
+		return nil, h.changed
+	}
+	return &h.versions[len(h.versions)-1], h.changed
+}
+
+// watch answers as soon as a version above after exists.
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, waitTime, bad := watchArguments(r)
+	if bad != nil {
+		sendError(w, bad)
+		return
+	}
+	timer := time.NewTimer(waitTime)
+	defer timer.Stop()
+	for {
+		doc, changed := p.newest(r.PathValue("key"))
+		if doc != nil && doc.Version > after {
+			sendJSON(w, http.StatusOK, doc)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case <-p.closing:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func watchArguments(r *http.Request) (after uint64, waitTime time.Duration, bad *status.Error) {
+	query := r.URL.Query()
+	var err error
+	if text := query.Get("after"); text != "" {
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return 0, 0, status.New(status.InvalidArgument, "", "after must be a decimal number")
+		}
+	}
+	if text := query.Get("wait_ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 0 || ms > maxWaitMS {
+			return 0, 0, status.New(status.InvalidArgument, "", "wait_ms must be a number from 0 to %d", maxWaitMS)
+		}
+		waitTime = time.Duration(ms) * time.Millisecond
+	}
+	return after, waitTime, nil
+}
+
+func (p *Platform) getHosts(w http.ResponseWriter, _ *http.Request) {
+	hosts := p.visibleHosts(time.Now())
+	if hosts == nil {
+		hosts = []platformapi.Host{}
+	}
+	sendJSON(w, http.StatusOK, platformapi.HostList{Hosts: hosts})
+}
+
+func (p *Platform) putConfig(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes+1))
+	if err != nil {
+		sendError(w, status.Wrap(err, status.TooLarge, "", "the value cannot be read"))
+		return
+	}
+	version, err := p.Publish(r.PathValue("key"), value)
+	if err != nil {
+		sendError(w, status.From(err))
+		return
+	}
+	sendJSON(w, http.StatusOK, PublishReply{Version: version})
+}
+
+func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
+	var list platformapi.HostList
+	if bad := decode(w, r, &list); bad != nil {
+		sendError(w, bad)
+		return
+	}
+	p.SetHosts(list.Hosts)
+	sendJSON(w, http.StatusOK, list)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, dst any) *status.Error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(dst); err != nil {
+		return status.Wrap(err, status.InvalidArgument, "", "the body is not valid")
+	}
+	return nil
+}
+
+func sendError(w http.ResponseWriter, err *status.Error) {
+	if err.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((err.RetryAfter+time.Second-1)/time.Second)))
+	}
+	sendJSON(w, status.HTTPStatus(err.Code), ErrorReply{
+		Code:         err.Code,
+		Message:      err.Error(),
+		RetryAfterMS: err.RetryAfter.Milliseconds(),
+	})
+}
+
+func sendJSON(w http.ResponseWriter, code int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // All reply types have a JSON form.
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	w.Write(body) // A client that has gone needs no reply.
+}
--- /dev/null
+++ b/internal/standin/platform/settings.go
@@ -0,0 +1,111 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/balsamstall/balsamstall/internal/settings"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+)
+
+// defaultCallsPerSecond is the read rate that the real platform allows.
+const defaultCallsPerSecond = 2_000
+
+// Settings is the settings file of `balsam-standin platform`.
+type Settings struct {
+	// Address is IP:port.
+	Address string `json:"address"`
+	// ControlAddress optionally serves /control on a listener that no fault affects.
+	ControlAddress string `json:"control_address"`
+	// CallsPerSecond caps the calls of all readers. The default is 2,000.
+	CallsPerSecond int64 `json:"calls_per_second"`
+	// HostsLagMS is the age of the host list in milliseconds.
+	HostsLagMS int64 `json:"hosts_lag_ms"`
+	// Documents holds the files published at start, by key. A relative path
+	// starts at the directory of the settings file.
+	Documents map[string]string `json:"documents"`
+	// Hosts is the host list at start.
+	Hosts []platformapi.Host `json:"hosts"`
+	// LogLevel is a zerolog level. The default is "info".
+	LogLevel string `json:"log_level"`
+
+	dir string
+}
+
+// NewSettings returns the default settings for a file in the directory dir.
+func NewSettings(dir string) *Settings {
+	return &Settings{CallsPerSecond: defaultCallsPerSecond, LogLevel: "info", dir: dir}
+}
+
+// Upper bounds of the settings. They keep a mistyped value from stalling a run.
+const (
+	maxCallsPerSecond = 1_000_000
+	maxLagMS          = 600_000
+)
+
+// Check implements settings.Checker.
+func (s *Settings) Check() []settings.Problem {
+	var c settings.Checks
+	c.Address("address", s.Address)
+	if s.ControlAddress != "" {
+		c.Address("control_address", s.ControlAddress)
+	}
+	c.Range("calls_per_second", s.CallsPerSecond, 1, maxCallsPerSecond)
+	c.Range("hosts_lag_ms", s.HostsLagMS, 0, maxLagMS)
+	for _, key := range s.keys() {
+		if _, err := s.read(key); err != nil {
+			c.Add("documents."+key, s.Documents[key], "a file with one JSON value of at most 1 MiB: "+err.Error())
+		}
+	}
+	for i, h := range s.Hosts {
+		path := fmt.Sprintf("hosts[%d].", i)
+		c.Name(path+"id", h.ID)
+		c.Name(path+"zone", h.Zone)
+		c.Address(path+"address", h.Address)
+		c.OneOf(path+"kind", string(h.Kind), string(platformapi.KindEntry), string(platformapi.KindTarget))
+		c.OneOf(path+"state", string(h.State), string(platformapi.HostLive), string(platformapi.HostLeaving))
+	}
+	c.OneOf("log_level", s.LogLevel, "debug", "info", "warn", "error")
+	return c.Problems
+}
+
+func (s *Settings) keys() []string {
+	keys := make([]string, 0, len(s.Documents))
+	for key := range s.Documents {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Faults of a document file.
+var (
+	errTooLarge = errors.New("the value is larger than 1 MiB")
+	errNotJSON  = errors.New("the value is not JSON")
+)
+
+func (s *Settings) read(key string) (json.RawMessage, error) {
+	path := s.Documents[key]
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(s.dir, path)
+	}
+	value, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return value, checkValue(value)
+}
+
+func checkValue(value []byte) error {
+	if len(value) > maxValueBytes {
+		return errTooLarge
+	}
+	if !json.Valid(value) {
+		return errNotJSON
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/target/record.go
@@ -0,0 +1,123 @@
+package target
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+// RecordPath is the path of the record (GET).
+const RecordPath = "/control/record"
+
+// Ends of a recorded attempt.
+const (
+	// EndRunning marks an attempt that still runs.
+	EndRunning = "running"
+	// EndCompleted marks an attempt that did its work.
+	EndCompleted = "completed"
+	// EndCanceled marks an attempt that stopped because its client went away.
+	EndCanceled = "canceled"
+	// EndCrashed marks an attempt that stopped in a crash of the target.
+	EndCrashed = "crashed"
+)
+
+// Run is one attempt that started.
+type Run struct {
+	targetapi.Identity
+	Query      string `json:"query"`
+	AtMostOnce bool   `json:"at_most_once"`
+	// StartUnixUS and EndUnixUS are in microseconds since the Unix epoch.
+	StartUnixUS int64  `json:"start_unix_us"`
+	EndUnixUS   int64  `json:"end_unix_us"`
+	End         string `json:"end"`
+	// ReplySent says whether the whole reply was handed to the connection and
+	// the connection was not silent.
+	ReplySent bool `json:"reply_sent"`
+	// Fault names the fault that changed the reply, if any.
+	Fault string `json:"fault,omitempty"`
+}
+
+// Record is the content of GET /control/record.
+type Record struct {
+	Target string `json:"target"`
+	// Started counts all attempts that started.
+	Started uint64 `json:"started"`
+	// Dropped counts the oldest attempts that no longer fit.
+	Dropped uint64 `json:"dropped"`
+	Runs    []Run  `json:"runs"`
+}
+
+// recorder is a ring of the most recent attempts.
+type recorder struct {
+	limit int
+
+	mu sync.Mutex
+	// runs and started are guarded by mu. The attempt with the number n is at
+	// the index n modulo limit.
+	runs    []*Run
+	started uint64
+}
+
+func (r *recorder) start(req *targetapi.SearchRequest) *Run {
+	run := &Run{
+		Identity:    req.Identity,
+		Query:       req.Query,
+		AtMostOnce:  req.AtMostOnce,
+		StartUnixUS: time.Now().UnixMicro(),
+		End:         EndRunning,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.runs) < r.limit {
+		r.runs = append(r.runs, run)
+	} else {
+		r.runs[r.started%uint64(r.limit)] = run
+	}
+	r.started++
+	return run
+}
+
+// update changes a run under the recorder's mutex.
+func (r *recorder) update(run *Run, change func(*Run)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(run)
+}
+
+func (r *recorder) finish(run *Run, end string) {
+	r.update(run, func(run *Run) {
+		if run.End == EndRunning {
+			run.End = end
+			run.EndUnixUS = time.Now().UnixMicro()
+		}
+	})
+}
+
+// list returns copies, oldest first.
+func (r *recorder) list() (started uint64, runs []Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs = make([]Run, 0, len(r.runs))
+	first := r.started - uint64(len(r.runs))
+	for n := first; n < r.started; n++ {
+		runs = append(runs, *r.runs[n%uint64(r.limit)])
+	}
+	return r.started, runs
+}
+
+// Record returns the attempts that started, oldest first.
+func (t *Target) Record() Record {
+	started, runs := t.record.list()
+	return Record{
+		Target:  t.cfg.ID,
+		Started: started,
+		Dropped: started - uint64(len(runs)),
+		Runs:    runs,
+	}
+}
+
+func (t *Target) getRecord(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, r, http.StatusOK, t.Record())
+}
--- /dev/null
+++ b/internal/standin/target/search.go
@@ -0,0 +1,198 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+// maxRequestBytes bounds the body of a search.
+const maxRequestBytes = 1 << 20
+
+// shedRetryAfter is the time that a shed attempt is told to wait.
+const shedRetryAfter = 20 * time.Millisecond
+
+// search handles POST /v1/search.
+func (t *Target) search(w http.ResponseWriter, r *http.Request) {
+	var req targetapi.SearchRequest
+	body := http.MaxBytesReader(w, r.Body, maxRequestBytes)
+	if err := json.NewDecoder(body).Decode(&req); err != nil {
+		t.refuse(w, &req, status.Wrap(err, status.InvalidArgument, status.NotRun, "the body is not a search request"))
+		return
+	}
+	if err := t.payDialCost(r); err != nil {
+		return // The client has gone.
+	}
+	if err := t.refusal(&req); err != nil {
+		t.refuse(w, &req, err)
+		return
+	}
+	if err := t.acquireSlot(r.Context(), &req); err != nil {
+		if r.Context().Err() == nil {
+			t.refuse(w, &req, err)
+		}
+		return
+	}
+	defer func() { <-t.slots }()
+	// The state may have changed during the wait.
+	if err := t.refusal(&req); err != nil {
+		t.refuse(w, &req, err)
+		return
+	}
+	t.run(w, r, &req)
+}
+
+// payDialCost delays the first reply of a new connection.
+func (t *Target) payDialCost(r *http.Request) error {
+	conn := connOf(r)
+	if conn == nil {
+		return nil
+	}
+	return wait(r.Context(), time.Until(conn.acceptedAt.Add(milliseconds(t.cfg.DialCostMS))))
+}
+
+// refusal returns the reason not to run req, or nil.
+func (t *Target) refusal(req *targetapi.SearchRequest) *status.Error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.draining {
+		return status.New(status.Draining, status.NotRun, "target %s is leaving", t.cfg.ID)
+	}
+	if req.DeadlineUnixMS > 0 && time.Now().UnixMilli() >= req.DeadlineUnixMS {
+		return status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed")
+	}
+	snapshots, ok := t.snapshots[req.Service]
+	if !ok {
+		return status.New(status.NotFound, status.NotRun, "service %q is not served here", req.Service)
+	}
+	if !slices.Contains(snapshots, req.Snapshot) {
+		return status.New(status.VersionUnavailable, status.NotRun, "snapshot %d/%d of %s is not on offer",
+			req.Snapshot.IndexVersion, req.Snapshot.ShardMapEpoch, req.Service)
+	}
+	return nil
+}
+
+// acquireSlot waits for a slot in the short queue.
+func (t *Target) acquireSlot(ctx context.Context, req *targetapi.SearchRequest) *status.Error {
+	select {
+	case t.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	shed := status.New(status.Shed, status.NotRun, "all %d slots are taken", t.cfg.Slots).WithRetryAfter(shedRetryAfter)
+	if t.waiting.Add(1) > int64(t.cfg.Queue) {
+		t.waiting.Add(-1)
+		return shed
+	}
+	defer t.waiting.Add(-1)
+	timer := time.NewTimer(time.Duration(t.cfg.QueueWaitMS) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case t.slots <- struct{}{}:
+		return nil
+	case <-timer.C:
+		return shed
+	case <-ctx.Done():
+		return status.New(status.Canceled, status.NotRun, "the client went away")
+	}
+}
+
+// run does the work of an attempt that holds a slot.
+func (t *Target) run(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest) {
+	run := t.record.start(req)
+	t.running.Add(1)
+	err := wait(r.Context(), t.serviceTime(time.Now()))
+	t.running.Add(-1)
+	if err != nil {
+		t.record.finish(run, EndCanceled)
+		return
+	}
+	t.record.finish(run, EndCompleted)
+	reply := targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)}
+	sent := writeJSON(w, r, http.StatusOK, reply)
+	t.record.update(run, func(run *Run) { run.ReplySent = sent })
+}
+
+func (t *Target) refuse(w http.ResponseWriter, req *targetapi.SearchRequest, err *status.Error) {
+	if err.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((err.RetryAfter+time.Second-1)/time.Second)))
+	}
+	writeJSON(w, nil, status.HTTPStatus(err.Code), targetapi.Refusal{
+		Identity:     req.Identity,
+		Code:         err.Code,
+		NotRun:       err.Outcome == status.NotRun,
+		RetryAfterMS: err.RetryAfter.Milliseconds(),
+		Message:      err.Message,
+	})
+}
+
+// status handles GET /v1/status.
+func (t *Target) status(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, r, http.StatusOK, t.currentStatus(time.Now()))
+}
+
+func (t *Target) currentStatus(now time.Time) targetapi.Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	snapshots := make(map[string][]ids.Snapshot, len(t.snapshots))
+	for name, list := range t.snapshots {
+		snapshots[name] = slices.Clone(list)
+	}
+	return targetapi.Status{
+		Target:    t.cfg.ID,
+		InFlight:  int(t.running.Load()),
+		Slots:     t.cfg.Slots,
+		Draining:  t.draining,
+		Cold:      t.isCold(now),
+		Snapshots: snapshots,
+	}
+}
+
+// writeJSON sends a whole reply and reports whether the client can receive it.
+// r may be nil when the result does not matter.
+func writeJSON(w http.ResponseWriter, r *http.Request, code int, value any) bool {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // All reply types have a JSON form.
+	}
+	return writeBody(w, r, code, body)
+}
+
+func writeBody(w http.ResponseWriter, r *http.Request, code int, body []byte) bool {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(code)
+	if _, err := w.Write(body); err != nil {
+		return false
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return false
+	}
+	if r == nil {
+		return true
+	}
+	conn := connOf(r)
+	return conn == nil || !conn.silent.Load()
+}
+
+// wait sleeps for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,190 @@
+// Package target is a stand-in for the servers that search shards. It serves
+// the target protocol with deterministic hits, records what really ran, and
+// shows faults on command.
+package target
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+// coldFactor multiplies the service time of a cold target.
+const coldFactor = 4
+
+// Target is one stand-in target.
+type Target struct {
+	cfg     Config
+	log     zerolog.Logger
+	slots   chan struct{}
+	waiting atomic.Int64
+	running atomic.Int64
+	record  recorder
+	counts  counters
+	// closing is closed by Shutdown and Close. It ends waits without a bound.
+	closing   chan struct{}
+	closeOnce sync.Once
+
+	mu sync.Mutex
+	// The fields below are guarded by mu.
+	rng       *rand.Rand
+	listener  *trackedListener
+	server    *http.Server
+	address   string
+	startedAt time.Time
+	snapshots map[string][]ids.Snapshot
+	draining  bool
+}
+
+// New returns a target that serves the given snapshots of each service. Zero
+// values of cfg select the defaults.
+func New(cfg Config, services map[string]Service, log zerolog.Logger) *Target {
+	cfg = cfg.withDefaults()
+	t := &Target{
+		cfg:     cfg,
+		log:     log.With().Str("target", cfg.ID).Logger(),
+		slots:   make(chan struct{}, cfg.Slots),
+		record:  recorder{limit: cfg.RecordLimit},
+		closing: make(chan struct{}),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		address: cfg.Address,
+	}
+	snapshots := make(map[string][]ids.Snapshot, len(services))
+	for name, s := range services {
+		snapshots[name] = s.Snapshots
+	}
+	t.SetSnapshots(snapshots)
+	return t
+}
+
+// ID returns the id of the target.
+func (t *Target) ID() string { return t.cfg.ID }
+
+// Addr returns the address that the target listens on.
+func (t *Target) Addr() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.address
+}
+
+// Listen opens the configured address and starts to serve it. The error is a
+// *status.Error with the code unavailable.
+func (t *Target) Listen() error {
+	ln, err := net.Listen("tcp", t.Addr())
+	if err != nil {
+		return status.Wrap(err, status.Unavailable, "", "target %s cannot listen on %s", t.cfg.ID, t.Addr())
+	}
+	t.Start(ln)
+	return nil
+}
+
+// Start serves ln in the background until Shutdown or Close. The target is cold
+// from now on.
+func (t *Target) Start(ln net.Listener) {
+	tracked := &trackedListener{
+		Listener: ln,
+		limit:    t.cfg.MaxConnections,
+		accepted: &t.counts.accepted,
+		rejected: &t.counts.rejected,
+		open:     make(map[*trackedConn]struct{}),
+	}
+	server := &http.Server{
+		Handler: t.handler(),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return withConn(ctx, conn)
+		},
+	}
+	t.mu.Lock()
+	t.listener = tracked
+	t.server = server
+	t.address = ln.Addr().String()
+	t.startedAt = time.Now()
+	t.mu.Unlock()
+	go func() {
+		if err := server.Serve(tracked); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			t.log.Error().Err(err).Msg("listener failed")
+		}
+	}()
+}
+
+// Shutdown stops accepting connections and waits for running attempts until
+// ctx ends.
+func (t *Target) Shutdown(ctx context.Context) error {
+	t.closeOnce.Do(func() { close(t.closing) })
+	t.mu.Lock()
+	server := t.server
+	t.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		server.Close()
+		return status.Wrap(err, status.DeadlineExceeded, "", "target %s still had running attempts", t.cfg.ID)
+	}
+	return nil
+}
+
+// Close stops the target at once and closes all connections.
+func (t *Target) Close() {
+	t.closeOnce.Do(func() { close(t.closing) })
+	t.mu.Lock()
+	server := t.server
+	t.mu.Unlock()
+	if server != nil {
+		server.Close() // Only the listener's close can fail, and it is gone either way.
+	}
+}
+
+// SetSnapshots replaces the snapshots on offer, by service.
+func (t *Target) SetSnapshots(snapshots map[string][]ids.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.snapshots = make(map[string][]ids.Snapshot, len(snapshots))
+	for name, list := range snapshots {
+		t.snapshots[name] = slices.Clone(list)
+	}
+}
+
+// SetDraining starts or ends the refusal of new attempts. Running attempts finish.
+func (t *Target) SetDraining(draining bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.draining = draining
+}
+
+func (t *Target) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+targetapi.SearchPath, t.search)
+	mux.HandleFunc("GET "+targetapi.StatusPath, t.status)
+	mux.HandleFunc("GET "+RecordPath, t.getRecord)
+	return mux
+}
+
+// serviceTime draws the work time of one attempt.
+func (t *Target) serviceTime(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ms := t.cfg.ServiceTimeMSMedian * math.Exp(t.cfg.ServiceTimeSigma*t.rng.NormFloat64())
+	if t.isCold(now) {
+		ms *= coldFactor
+	}
+	return milliseconds(ms)
+}
+
+// isCold needs t.mu.
+func (t *Target) isCold(now time.Time) bool {
+	return now.Sub(t.startedAt) < time.Duration(t.cfg.ColdMS)*time.Millisecond
+}
