--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,78 @@
+# Functions that start processes, wait for them and stop exactly those. The
+# including script sets logs, ready_timeout_s and stop_timeout_ds.
+
+pids=()
+names=()
+
+# start NAME COMMAND... runs a command in the background with its output in $logs.
+start() {
+  local name=$1
+  shift
+  "$@" >"$logs/$name.log" 2>&1 &
+  pids+=($!)
+  names+=("$name")
+}
+
+# check_running fails, with the end of the log, when a started process has ended.
+check_running() {
+  local i
+  for i in "${!pids[@]}"; do
+    if ! kill -0 "${pids[$i]}" 2>/dev/null; then
+      echo "${names[$i]} ended early; end of $logs/${names[$i]}.log:" >&2
+      tail -n 20 "$logs/${names[$i]}.log" >&2
+      return 1
+    fi
+  done
+}
+
+# http_status ADDRESS PATH prints the status of a GET, or nothing without an answer.
+http_status() {
+  local line
+  exec 3<>"/dev/tcp/${1%:*}/${1##*:}" || return 0
+  printf 'GET %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$2" "$1" >&3
+  read -r -t 2 line <&3 || line=""
+  exec 3>&- 3<&-
+  line=${line#* }
+  echo "${line%% *}"
+}
+
+# wait_ready ADMIN_ADDRESS... waits until /readyz of every address answers 200.
+wait_ready() {
+  local deadline=$((SECONDS + ready_timeout_s)) address
+  for address in "$@"; do
+    until [ "$(http_status "$address" /readyz 2>/dev/null)" = 200 ]; do
+      check_running || return 1
+      if [ "$SECONDS" -ge "$deadline" ]; then
+        echo "$address is not ready after $ready_timeout_s s; logs are in $logs" >&2
+        return 1
+      fi
+      sleep 0.1
+    done
+  done
+}
+
+# stop_all ends the started processes, last first: SIGTERM, a bounded wait, then SIGKILL.
+stop_all() {
+  local rc=$? i n
+  trap - EXIT
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    kill -TERM "${pids[$i]}" 2>/dev/null || true
+  done
+  for i in "${!pids[@]}"; do
+    for ((n = 0; n < stop_timeout_ds; n++)); do
+      kill -0 "${pids[$i]}" 2>/dev/null || break
+      sleep 0.1
+    done
+    if kill -0 "${pids[$i]}" 2>/dev/null; then
+      echo "${names[$i]} did not stop in time; sending SIGKILL" >&2
+      kill -KILL "${pids[$i]}" 2>/dev/null || true
+    fi
+    wait "${pids[$i]}" 2>/dev/null || true
+  done
+  if [ "$rc" -eq 0 ]; then
+    rm -rf "$logs"
+  else
+    echo "logs are in $logs" >&2
+  fi
+  exit "$rc"
+}
