Add balsam-load demo

make run needs a tool that shows real answers and judges them. It sends searches of two workspaces through three entries, a refused service, a wrong key, and an at_most_once request: permit fetched at the first entry, used through the second, repeated through the third.

--- a/cmd/balsam-load/main.go
+++ b/cmd/balsam-load/main.go
@@ -1,4 +1,21 @@
-// Command balsam-load is part of balsamstall.
+// Command balsam-load sends load to entries, checks every answer and prints
+// latency, coverage and the extra load on targets.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/internal/load"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, &load.Commands{}, "balsam-load",
+		"Sends load to balsam-entry processes and checks every answer.", os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/load/demo_test.go
@@ -0,0 +1,58 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+)
+
+// Guards against demo settings that the load tool refuses.
+func TestDemoSettingsAreValid(t *testing.T) {
+	is := is.New(t)
+	s, err := LoadSettings("../../examples/demo/load.json")
+	is.NoErr(err)
+	is.Equal(len(s.Entries), demoEntries)
+}
+
+// Guards against a demo that fails on correct answers.
+func TestDemoAcceptsCorrectAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, demoEntries)
+	steps, err := RunDemo(context.Background(), &f.settings)
+	is.NoErr(err)
+	var out bytes.Buffer
+	is.NoErr(WriteDemo(&out, steps))
+	is.True(bytes.Contains(out.Bytes(), []byte("1.00 (2 of 2 shards)")))
+}
+
+// Guards against a demo that reports success whatever the entries answer.
+func TestDemoReportsWrongAnswers(t *testing.T) {
+	for name, change := range map[string]func(*callerapi.SearchResponse){
+		"not marked as replayed": func(r *callerapi.SearchResponse) { r.Replayed = false },
+		"repeat differs": func(r *callerapi.SearchResponse) {
+			if r.Replayed {
+				r.Results = r.Results[:1]
+			}
+		},
+		"not run by the issuer": func(r *callerapi.SearchResponse) { r.Entry = "entry-2" },
+		"other service":         func(r *callerapi.SearchResponse) { r.Service = "bodega-1" },
+		"shard named twice":     func(r *callerapi.SearchResponse) { r.Coverage.Searched = []int{0, 0} },
+		"coverage overstated": func(r *callerapi.SearchResponse) {
+			r.Coverage.NotSearched = []callerapi.NotSearched{{Shard: 2, Reason: callerapi.ReasonDeadline}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeFleet(t, demoEntries)
+			f.change = change
+			_, err := RunDemo(context.Background(), &f.settings)
+			var failure *DemoFailure
+			is.True(errors.As(err, &failure))
+		})
+	}
+}
--- /dev/null
+++ b/internal/load/fake_test.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// fakeFleet serves the caller API at several addresses with a shared memory.
+type fakeFleet struct {
+	settings Settings
+	// change alters every answer before it is sent.
+	change func(*callerapi.SearchResponse)
+
+	mu       sync.Mutex
+	sequence int
+	// permits maps a permit to the query it was issued for.
+	permits  map[string]string
+	outcomes map[string]callerapi.SearchResponse
+}
+
+func newFakeFleet(t *testing.T, entries int) *fakeFleet {
+	f := &fakeFleet{permits: map[string]string{}, outcomes: map[string]callerapi.SearchResponse{}}
+	f.settings.Callers = []Caller{
+		{Name: "asan-buyer", Workspace: "asan-toolroom", Key: "asan-key"},
+		{Name: "molina-counter", Workspace: "molina-shop", Key: "molina-key"},
+	}
+	for i := range entries {
+		id := fmt.Sprintf("entry-%d", i+1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, id) }))
+		t.Cleanup(server.Close)
+		f.settings.Entries = append(f.settings.Entries, Entry{ID: id, Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	return f
+}
+
+func (f *fakeFleet) serve(w http.ResponseWriter, r *http.Request, entry string) {
+	var request callerapi.SearchRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		refuse(w, callerapi.ErrorResponse{Code: status.InvalidArgument, Outcome: status.NotRun})
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sequence++
+	id := fmt.Sprintf("%s-%d", entry, f.sequence)
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	workspace := ""
+	for _, c := range f.settings.Callers {
+		if c.Key == key {
+			workspace = c.Workspace
+		}
+	}
+	refusal := callerapi.ErrorResponse{Outcome: status.NotRun, RequestID: id}
+	issued, known := f.permits[request.Permit]
+	remembered, again := f.outcomes[request.Permit]
+	switch {
+	case workspace == "":
+		refusal.Code = status.Unauthenticated
+	case workspace == "molina-shop" && request.Service == "quote-desk-1":
+		refusal.Code = status.PermissionDenied
+	case request.Service == "drawing-vault" && request.Permit == "":
+		refusal.Code, refusal.Permit = status.PermitRequired, "permit-"+id
+		f.permits[refusal.Permit] = request.Query
+	case request.Service == "drawing-vault" && (!known || issued != request.Query):
+		refusal.Code = status.PermitInvalid
+	case again:
+		remembered.Replayed = true
+		f.answer(w, remembered)
+		return
+	default:
+		if request.Permit != "" {
+			entry = f.settings.Entries[0].ID
+		}
+		response := fakeResponse(id, entry, workspace, &request)
+		if request.Permit != "" {
+			f.outcomes[request.Permit] = response
+		}
+		f.answer(w, response)
+		return
+	}
+	refuse(w, refusal)
+}
+
+func fakeResponse(id, entry, workspace string, request *callerapi.SearchRequest) callerapi.SearchResponse {
+	return callerapi.SearchResponse{
+		RequestID: id, Outcome: status.Done, Service: request.Service, Entry: entry, SheetRevision: 1,
+		Snapshot: ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1},
+		Results:  []callerapi.Hit{{Shard: 0, ID: "d0"}, {Shard: 1, ID: "d1"}},
+		Coverage: callerapi.Coverage{Searched: []int{0, 1}, Ratio: 1, ContractMet: true},
+	}
+}
+
+func (f *fakeFleet) answer(w http.ResponseWriter, response callerapi.SearchResponse) {
+	if f.change != nil {
+		f.change(&response)
+	}
+	json.NewEncoder(w).Encode(response)
+}
+
+func refuse(w http.ResponseWriter, refusal callerapi.ErrorResponse) {
+	w.WriteHeader(status.HTTPStatus(refusal.Code))
+	json.NewEncoder(w).Encode(refusal)
+}
