Add the request engine: scatter, permits, forwarding and handover

Cause: the thin path needs one engine that both callers and peers reach. The permit runs only at its issuer; other entries forward.

--- /dev/null
+++ b/internal/entry/engine.go
@@ -0,0 +1,210 @@
+// Package entry is the serving process: it authenticates callers, scatters
+// searches to targets, merges the replies and keeps the promises of the
+// contract. The decisions are made by the packages under coordination.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/coordination/permit"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+	"github.com/balsamstall/balsamstall/state/inflight"
+	"github.com/balsamstall/balsamstall/state/journal"
+	"github.com/balsamstall/balsamstall/transport/callerhttp"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+const (
+	// journalShards is the number of locks of the journal.
+	journalShards = 32
+	// defaultRetryAfter is recommended when no better estimate exists.
+	defaultRetryAfter = 200 * time.Millisecond
+)
+
+// Identity names this process.
+type Identity struct {
+	Entry       string
+	Zone        string
+	Incarnation ids.Incarnation
+	// Start is the origin of the clock that permits and the journal use.
+	Start time.Time
+}
+
+// clock returns the monotonic time since the start of the process.
+func (i Identity) clock() time.Duration { return time.Since(i.Start) }
+
+// Targets sends attempts. targethttp.Client implements it.
+type Targets interface {
+	Search(ctx context.Context, target string, req *targetapi.SearchRequest, opt targethttp.Options) (*targetapi.SearchReply, error)
+	Reachable(ctx context.Context, target string) bool
+	Configure(targets []sheet.Target, share func(sheet.Target) int)
+	DropIdle()
+	Connections(target string) int
+}
+
+// Engine runs requests. All methods are safe for concurrent use.
+type Engine struct {
+	self      Identity
+	log       zerolog.Logger
+	targets   Targets
+	peers     Forwarder
+	policy    policy
+	signer    *permit.Signer
+	journal   *journal.Journal
+	inherited *journal.Inherited
+	inflight  inflight.Table
+	metrics   *Metrics
+
+	plan     atomic.Pointer[plan]
+	sequence atomic.Uint64
+	draining atomic.Bool
+
+	partsMu sync.Mutex
+	// parts holds the messages of handovers that are not complete. Guarded by partsMu.
+	parts map[ids.Incarnation][]*peerpb.HandoverRequest
+}
+
+// Config holds the parts of an engine.
+type Config struct {
+	Self      Identity
+	Log       zerolog.Logger
+	Targets   Targets
+	Peers     Forwarder
+	PermitKey []byte
+	// PolicyOn turns the load policies on.
+	PolicyOn bool
+	Metrics  *Metrics
+}
+
+// New returns an engine that refuses requests until SetDocuments was called.
+func New(cfg Config) *Engine {
+	return &Engine{
+		self:      cfg.Self,
+		log:       cfg.Log,
+		targets:   cfg.Targets,
+		peers:     cfg.Peers,
+		policy:    newBaseline(),
+		signer:    permit.NewSigner(cfg.PermitKey),
+		journal:   journal.New(journalShards),
+		inherited: journal.NewInherited(),
+		metrics:   cfg.Metrics,
+		parts:     make(map[ids.Incarnation][]*peerpb.HandoverRequest),
+	}
+}
+
+// SetDocuments puts an accepted sheet and index in force for new requests.
+func (e *Engine) SetDocuments(s *sheet.Sheet, d *index.Document) {
+	e.plan.Store(newPlan(s, d))
+	e.targets.Configure(s.Targets, func(t sheet.Target) int { return t.MaxConnections })
+}
+
+// request is one authenticated request.
+type request struct {
+	id       ids.Request
+	caller   *sheet.Caller
+	search   callerapi.SearchRequest
+	service  *sheet.Service
+	plan     *plan
+	deadline time.Time
+}
+
+// Search implements callerhttp.Handler.
+func (e *Engine) Search(ctx context.Context, call callerhttp.Call) callerhttp.Reply {
+	id := e.nextID()
+	if !e.inflight.Begin(id.Sequence) {
+		return e.errorReply(id, status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(defaultRetryAfter), "")
+	}
+	defer e.inflight.End(id.Sequence)
+	req, err := e.prepare(id, call)
+	if err != nil {
+		return e.errorReply(id, err, "")
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	if req.service.Repeat.Rule == sheet.AtMostOnce {
+		return e.searchOnce(ctx, req)
+	}
+	return e.searchAll(ctx, req)
+}
+
+// Refuse implements callerhttp.Handler.
+func (e *Engine) Refuse(err *status.Error) callerhttp.Reply {
+	return e.errorReply(e.nextID(), err, "")
+}
+
+func (e *Engine) nextID() ids.Request {
+	return ids.Request{Incarnation: e.self.Incarnation, Sequence: e.sequence.Add(1)}
+}
+
+// prepare authenticates a call and fixes the plan and the deadline.
+func (e *Engine) prepare(id ids.Request, call callerhttp.Call) (*request, error) {
+	p := e.plan.Load()
+	if p == nil {
+		return nil, status.New(status.NotReady, status.NotRun, "no sheet and index are in force yet").WithRetryAfter(defaultRetryAfter)
+	}
+	caller, err := p.authenticate(call.Key)
+	if err != nil {
+		return nil, err
+	}
+	svc, err := p.service(caller, call.Search.Service)
+	if err != nil {
+		return nil, err
+	}
+	if call.Search.Query == "" {
+		return nil, status.New(status.InvalidArgument, status.NotRun, "query must not be empty")
+	}
+	budget := svc.Latency.MaxDeadlineMS
+	if call.Search.DeadlineMS < 0 || call.Search.DeadlineMS > budget {
+		return nil, status.New(status.InvalidArgument, status.NotRun, "deadline_ms must be from 0 to %d", budget)
+	}
+	if call.Search.DeadlineMS > 0 {
+		budget = call.Search.DeadlineMS
+	}
+	return &request{
+		id:       id,
+		caller:   caller,
+		search:   call.Search,
+		service:  svc,
+		plan:     p,
+		deadline: call.Arrival.Add(time.Duration(budget) * time.Millisecond),
+	}, nil
+}
+
+func (e *Engine) answerReply(resp *callerapi.SearchResponse) callerhttp.Reply {
+	body, err := json.Marshal(resp)
+	if err != nil {
+		id, _ := ids.ParseRequest(resp.RequestID)
+		return e.errorReply(id, status.Wrap(err, status.Internal, status.Unknown, "encoding the answer"), "")
+	}
+	e.metrics.answered(resp)
+	return callerhttp.Reply{Status: http.StatusOK, Body: body}
+}
+
+// errorReply builds a refusal. A fresh permit may come with it.
+func (e *Engine) errorReply(id ids.Request, err error, freshPermit string) callerhttp.Reply {
+	se := status.From(err)
+	e.metrics.refused(se)
+	e.log.Debug().Str("request_id", id.String()).Str("code", string(se.Code)).Str("outcome", string(se.Outcome)).Err(err).Msg("request refused")
+	body, _ := json.Marshal(callerapi.ErrorResponse{ // A struct of texts and numbers always encodes.
+		Code:         se.Code,
+		Outcome:      se.Outcome,
+		Message:      se.Message,
+		RetryAfterMS: se.RetryAfter.Milliseconds(),
+		RequestID:    id.String(),
+		Permit:       freshPermit,
+	})
+	return callerhttp.Reply{Status: status.HTTPStatus(se.Code), Body: body, RetryAfter: se.RetryAfter}
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/permit"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/journal"
+	"github.com/balsamstall/balsamstall/transport/callerhttp"
+)
+
+// Forwarder sends requests to other entries.
+type Forwarder interface {
+	// Forward runs a request on another entry. An error has the outcome NotRun
+	// when no byte of the call was sent.
+	Forward(ctx context.Context, entry string, req *peerpb.ForwardRequest) (*peerpb.ForwardReply, error)
+	// Successor returns the entry that holds the journal of an incarnation that
+	// stopped.
+	Successor(inc ids.Incarnation) (entry string, ok bool)
+}
+
+// forward sends a request to the issuer of its permit, or to the issuer's
+// successor. Only they know whether the permit ran.
+func (e *Engine) forward(ctx context.Context, req *request, claims permit.Claims) callerhttp.Reply {
+	holder := claims.Entry
+	if successor, ok := e.peers.Successor(claims.Issuer); ok {
+		holder = successor
+	}
+	if holder == e.self.Entry {
+		return e.answerInherited(req, claims)
+	}
+	body, err := json.Marshal(req.search)
+	if err != nil {
+		return e.errorReply(req.id, status.Wrap(err, status.Internal, status.Unknown, "encoding the request"), "")
+	}
+	e.metrics.Forwards.Add(1)
+	reply, err := e.peers.Forward(ctx, holder, &peerpb.ForwardRequest{
+		Issuer:    claims.Issuer[:],
+		RequestId: req.id.String(),
+		Caller:    req.caller.Name,
+		Workspace: req.caller.Workspace,
+		Search:    body,
+		TimeoutMs: time.Until(req.deadline).Milliseconds(),
+	})
+	if err != nil {
+		// An earlier use of the permit may have run, so the outcome is unknown
+		// even when this call was not sent.
+		unreachable := status.Wrap(err, status.IssuerUnreachable, status.Unknown, "entry %s, which issued the permit, is not reachable", holder)
+		return e.errorReply(req.id, unreachable.WithRetryAfter(defaultRetryAfter), "")
+	}
+	return callerhttp.Reply{Status: int(reply.HttpStatus), Body: reply.Body, RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}
+}
+
+// HandleForward runs a request that another entry received.
+func (e *Engine) HandleForward(ctx context.Context, fwd *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+	id := e.nextID()
+	if !e.inflight.Begin(id.Sequence) {
+		return forwardReply(e.errorReply(id, status.New(status.Draining, status.Unknown, "this entry is stopping"), "")), nil
+	}
+	defer e.inflight.End(id.Sequence)
+	req, err := e.prepareForwarded(id, fwd)
+	if err != nil {
+		return forwardReply(e.errorReply(id, err, "")), nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	claims, err := e.signer.Verify(req.search.Permit, req.use())
+	if err != nil {
+		return forwardReply(e.errorReply(id, err, "")), nil
+	}
+	if claims.Issuer == e.self.Incarnation {
+		return forwardReply(e.runPermit(ctx, req, claims)), nil
+	}
+	return forwardReply(e.answerInherited(req, claims)), nil
+}
+
+func forwardReply(r callerhttp.Reply) *peerpb.ForwardReply {
+	return &peerpb.ForwardReply{HttpStatus: int32(r.Status), Body: r.Body, RetryAfterMs: r.RetryAfter.Milliseconds()}
+}
+
+// prepareForwarded builds the request under this entry's own plan. The permit
+// binds the caller and the workspace that the peer names.
+func (e *Engine) prepareForwarded(id ids.Request, fwd *peerpb.ForwardRequest) (*request, error) {
+	p := e.plan.Load()
+	if p == nil {
+		return nil, status.New(status.NotReady, status.Unknown, "no sheet and index are in force yet").WithRetryAfter(defaultRetryAfter)
+	}
+	var search callerapi.SearchRequest
+	if err := json.Unmarshal(fwd.Search, &search); err != nil {
+		return nil, status.Wrap(err, status.InvalidArgument, status.NotRun, "the forwarded request is malformed")
+	}
+	caller := &sheet.Caller{Name: fwd.Caller, Workspace: fwd.Workspace, Services: []string{search.Service}}
+	svc, err := p.service(caller, search.Service)
+	if err != nil {
+		return nil, err
+	}
+	if svc.Repeat.Rule != sheet.AtMostOnce {
+		return nil, status.New(status.InvalidArgument, status.NotRun, "service %s takes no permits", svc.Name)
+	}
+	limit := time.Duration(svc.Latency.MaxDeadlineMS) * time.Millisecond
+	timeout := min(time.Duration(fwd.TimeoutMs)*time.Millisecond, limit)
+	return &request{id: id, caller: caller, search: search, service: svc, plan: p, deadline: time.Now().Add(timeout)}, nil
+}
+
+// answerInherited answers for a permit of an incarnation that stopped, from the
+// journal that it handed over.
+func (e *Engine) answerInherited(req *request, claims permit.Claims) callerhttp.Reply {
+	record, finding := e.inherited.Lookup(claims.Issuer, claims.Sequence, claims.Expires(), e.self.clock())
+	switch finding {
+	case journal.Found:
+		return e.replay(req.id, record)
+	case journal.NoRecord:
+		err := status.New(status.PermitVoid, status.NotRun, "the issuer stopped without running the permit")
+		return e.errorReply(req.id, err, e.issuePermit(req))
+	case journal.PermitExpired:
+		return e.errorReply(req.id, status.New(status.PermitExpired, status.Unknown, "the permit has expired"), "")
+	}
+	return e.errorReply(req.id, status.New(status.PermitVoid, status.Unknown, "the incarnation that issued the permit is gone"), "")
+}
--- /dev/null
+++ b/internal/entry/handover.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/journal"
+)
+
+const (
+	// maxHandoverBytes bounds the records of one handover message.
+	maxHandoverBytes = 512 << 10
+	// maxInheritedParts bounds the messages of one handover that a successor
+	// keeps before the last one arrives.
+	maxInheritedParts = 1_024
+)
+
+// Stop ends the service of requests: it refuses new ones, waits for those that
+// run until ctx ends, and seals the journal. No permit runs afterwards.
+func (e *Engine) Stop(ctx context.Context) error {
+	e.inflight.Close()
+	err := e.inflight.Wait(ctx)
+	e.journal.Seal()
+	if idle := e.journal.WaitIdle(ctx); err == nil {
+		err = idle
+	}
+	return err
+}
+
+// HandoverParts returns the journal as messages for the successor. The journal
+// must be sealed.
+func (e *Engine) HandoverParts() ([]*peerpb.HandoverRequest, error) {
+	now := e.self.clock()
+	records, err := e.journal.Export(now)
+	if err != nil {
+		return nil, err
+	}
+	part := e.newHandoverPart(now)
+	parts := []*peerpb.HandoverRequest{part}
+	size := 0
+	for _, r := range records {
+		if size > maxHandoverBytes {
+			part = e.newHandoverPart(now)
+			parts = append(parts, part)
+			size = 0
+		}
+		size += len(r.Body)
+		part.Records = append(part.Records, &peerpb.JournalRecord{
+			Sequence:    r.Sequence,
+			Outcome:     string(r.Outcome),
+			HttpStatus:  int32(r.HTTPStatus),
+			Body:        r.Body,
+			RemainingMs: r.Remaining.Milliseconds(),
+		})
+	}
+	part.Complete = true
+	part.TotalRecords = int64(len(records))
+	return parts, nil
+}
+
+func (e *Engine) newHandoverPart(now time.Duration) *peerpb.HandoverRequest {
+	return &peerpb.HandoverRequest{
+		Entry:             e.self.Entry,
+		Incarnation:       e.self.Incarnation[:],
+		PermitRemainingMs: e.longestWindow().Milliseconds(),
+		IssuerClockNs:     int64(now),
+	}
+}
+
+// longestWindow returns the longest repeat window of the sheet in force. Permits
+// issued under an earlier sheet may last longer; the successor then answers
+// them as unknown, which is safe.
+func (e *Engine) longestWindow() time.Duration {
+	var longest time.Duration
+	if p := e.plan.Load(); p != nil {
+		for _, svc := range p.services {
+			longest = max(longest, time.Duration(svc.Repeat.WindowS)*time.Second)
+		}
+	}
+	return longest
+}
+
+// HandleHandover takes a part of the journal of an entry that stops.
+func (e *Engine) HandleHandover(_ context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	if len(in.Incarnation) != ids.IncarnationSize {
+		return nil, status.New(status.InvalidArgument, "", "the handover names no incarnation")
+	}
+	if e.draining.Load() {
+		return &peerpb.HandoverReply{Accepted: false}, nil
+	}
+	inc := ids.Incarnation(in.Incarnation)
+	e.partsMu.Lock()
+	defer e.partsMu.Unlock()
+	parts := append(e.parts[inc], in)
+	if len(parts) > maxInheritedParts {
+		delete(e.parts, inc)
+		return nil, status.New(status.TooLarge, "", "the handover has more than %d parts", maxInheritedParts)
+	}
+	if !in.Complete {
+		e.parts[inc] = parts
+		return &peerpb.HandoverReply{Accepted: true}, nil
+	}
+	delete(e.parts, inc)
+	h := journal.Handover{
+		ExportedAt:      time.Duration(in.IssuerClockNs),
+		PermitRemaining: time.Duration(in.PermitRemainingMs) * time.Millisecond,
+	}
+	for _, p := range parts {
+		for _, r := range p.Records {
+			h.Records = append(h.Records, journal.ExportedRecord{
+				Sequence:  r.Sequence,
+				Record:    journal.Record{Outcome: status.Outcome(r.Outcome), HTTPStatus: int(r.HttpStatus), Body: r.Body},
+				Remaining: time.Duration(r.RemainingMs) * time.Millisecond,
+			})
+		}
+	}
+	if int64(len(h.Records)) != in.TotalRecords {
+		return nil, status.New(status.InvalidArgument, "", "the handover has %d of %d records", len(h.Records), in.TotalRecords)
+	}
+	e.inherited.Import(inc, h, e.self.clock())
+	e.log.Info().Str("from", in.Entry).Int("records", len(h.Records)).Msg("took over the journal of a stopping entry")
+	return &peerpb.HandoverReply{Accepted: true}, nil
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"expvar"
+
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// Metrics counts what an entry did since its start.
+type Metrics struct {
+	// Answered counts complete and partial answers.
+	Answered expvar.Int
+	// Partial counts answers with less than full coverage.
+	Partial expvar.Int
+	// ContractMissed counts answers below the coverage of the contract.
+	ContractMissed expvar.Int
+	// Refused counts refusals by code.
+	Refused expvar.Map
+	// Attempts counts attempts at targets that ended, by code; "ok" is a reply.
+	Attempts expvar.Map
+	// Hedges counts second attempts at another target.
+	Hedges expvar.Int
+	// Forwards counts requests sent to another entry.
+	Forwards expvar.Int
+	// Replays counts remembered answers.
+	Replays expvar.Int
+	// SilentConnections counts connections closed as silent.
+	SilentConnections expvar.Int
+	// ReplyMismatches counts replies that did not name their attempt.
+	ReplyMismatches expvar.Int
+	// Violations counts failed invariants by name. Any value is a fault.
+	Violations expvar.Map
+}
+
+// NewMetrics returns metrics with zero counts.
+func NewMetrics() *Metrics { return &Metrics{} }
+
+// Publish makes the metrics visible at /debug/vars under "balsam_entry". It may
+// be called once in a process.
+func (m *Metrics) Publish() {
+	vars := expvar.NewMap("balsam_entry")
+	vars.Set("answered_total", &m.Answered)
+	vars.Set("partial_total", &m.Partial)
+	vars.Set("contract_missed_total", &m.ContractMissed)
+	vars.Set("refused_total", &m.Refused)
+	vars.Set("attempts_total", &m.Attempts)
+	vars.Set("hedges_total", &m.Hedges)
+	vars.Set("forwards_total", &m.Forwards)
+	vars.Set("replays_total", &m.Replays)
+	vars.Set("silent_connections_total", &m.SilentConnections)
+	vars.Set("reply_mismatches_total", &m.ReplyMismatches)
+	vars.Set("violations_total", &m.Violations)
+}
+
+// SilentConnection implements targethttp.Metrics.
+func (m *Metrics) SilentConnection() { m.SilentConnections.Add(1) }
+
+// ReplyMismatch implements targethttp.Metrics.
+func (m *Metrics) ReplyMismatch() { m.ReplyMismatches.Add(1) }
+
+func (m *Metrics) answered(resp *callerapi.SearchResponse) {
+	m.Answered.Add(1)
+	if resp.Coverage.Ratio < 1 {
+		m.Partial.Add(1)
+	}
+	if !resp.Coverage.ContractMet {
+		m.ContractMissed.Add(1)
+	}
+}
+
+func (m *Metrics) refused(err *status.Error) { m.Refused.Add(string(err.Code), 1) }
+
+func (m *Metrics) attempt(err error) {
+	code := string(status.CodeOf(err))
+	if code == "" {
+		code = "ok"
+	}
+	m.Attempts.Add(code, 1)
+}
+
+// violation records a failed invariant.
+func (e *Engine) violation(name string, err error) {
+	e.metrics.Violations.Add(name, 1)
+	e.log.Error().Str("invariant", name).Err(err).Msg("invariant violated")
+}
