--- /dev/null
+++ b/internal/entry/query_test.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+func quote(query string) callerapi.SearchRequest {
+	return callerapi.SearchRequest{Service: "quote-desk-1", Query: query, DeadlineMS: 300}
+}
+
+// Guards against an answer that mixes snapshots when a version disappears
+// while the query runs.
+func TestDisappearingVersionIsReplannedWhole(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 8)
+	f.targets.serve = func(_ context.Context, _ string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		if req.Snapshot.IndexVersion == 2 && req.Shard == 5 {
+			return nil, status.New(status.VersionUnavailable, status.NotRun, "gone")
+		}
+		return f.targets.run(req), nil
+	}
+	got := f.search(0, testKeyAsan, quote("clamp"))
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.answer.Snapshot.IndexVersion, uint64(1))
+	is.Equal(len(got.answer.Coverage.Searched), 8)
+	for _, h := range got.answer.Results {
+		is.True(strings.HasSuffix(h.ID, "/1"))
+	}
+}
+
+// Guards against a partial answer that claims full coverage, and against one
+// that waits for the last shard past the deadline.
+func TestUnansweredShardIsReportedAsNotSearched(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 4)
+	f.targets.serve = func(ctx context.Context, _ string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		if req.Shard == 2 {
+			<-ctx.Done()
+			return nil, status.New(status.DeadlineExceeded, status.Unknown, "no reply")
+		}
+		return f.targets.run(req), nil
+	}
+	got := f.search(0, testKeyAsan, quote("clamp"))
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.answer.Coverage.Searched, []int{0, 1, 3})
+	is.Equal(got.answer.Coverage.NotSearched, []callerapi.NotSearched{{Shard: 2, Reason: callerapi.ReasonDeadline}})
+	is.True(!got.answer.Coverage.ContractMet)
+}
+
+// Guards against a refusal that says "not run" although an attempt was still
+// outstanding, and one that says "unknown" although every target refused.
+func TestOutcomeOfAQueryWithoutReplies(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 4)
+	f.targets.serve = func(context.Context, string, *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		return nil, status.New(status.Shed, status.NotRun, "shed")
+	}
+	got := f.search(0, testKeyAsan, quote("clamp"))
+	is.Equal(got.fault.Outcome, status.NotRun)
+	is.True(got.fault.RetryAfterMS > 0)
+	f.targets.serve = func(ctx context.Context, _ string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		f.targets.run(req)
+		<-ctx.Done()
+		return nil, status.New(status.DeadlineExceeded, status.Unknown, "no reply")
+	}
+	got = f.search(0, testKeyAsan, quote("clamp"))
+	is.Equal(got.fault.Outcome, status.Unknown)
+}
+
+// Guards against access without a key, with a wrong key, or to a service that
+// the caller may not query.
+func TestForeignCallersAreRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 4)
+	is.Equal(f.search(0, "wrong", quote("clamp")).status, http.StatusUnauthorized)
+	is.Equal(f.search(0, "", quote("clamp")).status, http.StatusUnauthorized)
+	is.Equal(f.search(0, testKeyMolina, quote("clamp")).status, http.StatusForbidden)
+	is.Equal(len(f.targets.ran), 0)
+}
+
+// Guards P1, P2 and P4 in a randomised run: targets refuse, lose replies, hang
+// and drop versions while the index is repartitioned. Every answer names one
+// snapshot, its hits come from that snapshot and from searched shards only,
+// coverage is complete and disjoint, every searched shard really ran for this
+// request, and "not run" is never said for a request that ran.
+func TestAnswersUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { queryRun(t, seed) })
+	}
+}
+
+func queryRun(t *testing.T, seed uint64) {
+	const queries, shards = 120, 6
+	f := newFakeFleet(t, 1, shards)
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, 2))
+	draw := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.IntN(n)
+	}
+	faulty := faultyTarget(f.targets, draw)
+	f.targets.serve = func(ctx context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		switch draw(12) {
+		case 0:
+			return nil, status.New(status.VersionUnavailable, status.NotRun, "gone")
+		case 1, 2:
+			return faulty(ctx, target, req)
+		}
+		return f.targets.run(req), nil
+	}
+	var wg sync.WaitGroup
+	results := make([]result, queries)
+	for q := range queries {
+		wg.Go(func() {
+			time.Sleep(time.Duration(draw(200)) * time.Millisecond)
+			if draw(4) == 0 {
+				version := uint64(3 + draw(50))
+				d := *f.index
+				d.Revision = version
+				d.Services = append(d.Services[:0:0], d.Services...)
+				d.Services[0].Snapshots = append(d.Services[0].Snapshots[:0:0], testSnapshot(version, version, 1+draw(2*shards)), testSnapshot(version-1, version, shards))
+				f.engine(0).SetDocuments(f.sheet, &d)
+			}
+			results[q] = f.search(0, testKeyAsan, quote(fmt.Sprintf("query-%d", q)))
+		})
+	}
+	wg.Wait()
+	for q := range results {
+		checkAnswer(t, f.targets, fmt.Sprintf("query-%d", q), &results[q])
+	}
+	if n := f.engine(0).metrics.Violations.String(); n != "{}" {
+		t.Errorf("violations: %s", n)
+	}
+}
+
+func checkAnswer(t *testing.T, targets *fakeTargets, query string, r *result) {
+	t.Helper()
+	if r.status != http.StatusOK {
+		ran := targets.runs(func(req targetapi.SearchRequest) bool { return req.RequestID == r.fault.RequestID })
+		if r.fault.Outcome == status.NotRun && ran > 0 {
+			t.Errorf("%s is reported as not run and ran %d attempts", query, ran)
+		}
+		return
+	}
+	cov := r.answer.Coverage
+	seen := map[int]bool{}
+	for _, s := range cov.Searched {
+		seen[s] = true
+		ran := targets.runs(func(req targetapi.SearchRequest) bool {
+			return req.RequestID == r.answer.RequestID && req.Shard == s && req.Snapshot == r.answer.Snapshot
+		})
+		if ran == 0 {
+			t.Errorf("%s: shard %d is reported as searched and did not run at the snapshot", query, s)
+		}
+	}
+	for _, h := range r.answer.Results {
+		want := fmt.Sprintf("%s/%d/%d", query, h.Shard, r.answer.Snapshot.IndexVersion)
+		if h.ID != want || !seen[h.Shard] {
+			t.Errorf("%s: hit %s of shard %d does not belong to the answer", query, h.ID, h.Shard)
+		}
+	}
+	for _, n := range cov.NotSearched {
+		if seen[n.Shard] || n.Reason == "" {
+			t.Errorf("%s: shard %d is listed twice or without a reason", query, n.Shard)
+		}
+		seen[n.Shard] = true
+	}
+	for s := range seen {
+		if s < 0 || s >= len(seen) {
+			t.Errorf("%s: coverage of shards is not complete: %v", query, cov)
+		}
+	}
+}
--- /dev/null
+++ b/transport/targethttp/client_test.go
@@ -0,0 +1,268 @@
+package targethttp
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type counts struct{ silent, mismatch atomic.Int64 }
+
+func (c *counts) SilentConnection() { c.silent.Add(1) }
+func (c *counts) ReplyMismatch()    { c.mismatch.Add(1) }
+
+func newTestClient(t *testing.T, handler http.HandlerFunc, connections int) (*Client, *counts) {
+	t.Helper()
+	srv := httptest.NewServer(handler)
+	c := &counts{}
+	client := New(c)
+	client.Configure([]sheet.Target{{ID: "target-1", Address: srv.Listener.Addr().String()}}, func(sheet.Target) int { return connections })
+	t.Cleanup(func() {
+		client.Close()
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return client, c
+}
+
+func testRequest(n int) *targetapi.SearchRequest {
+	return &targetapi.SearchRequest{
+		Identity: targetapi.Identity{
+			RequestID: fmt.Sprintf("r-%d", n), Attempt: 1, Workspace: "asan-toolroom", Service: "quote-desk-1",
+			Snapshot: ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1},
+		},
+		Query: "clamp",
+	}
+}
+
+func decode(r *http.Request) targetapi.SearchRequest {
+	var req targetapi.SearchRequest
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	return req
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	req := decode(r)
+	_ = json.NewEncoder(w).Encode(targetapi.SearchReply{Identity: req.Identity, Hits: []targetapi.Hit{{ID: "a"}}})
+}
+
+// Guards P3: a reply to another attempt, workspace or snapshot, a hit of another
+// workspace, and a refusal that does not name the attempt are dropped and counted.
+func TestForeignRepliesAreDropped(t *testing.T) {
+	changes := map[string]func(*targetapi.SearchReply){
+		"request":   func(r *targetapi.SearchReply) { r.RequestID = "r-2" },
+		"attempt":   func(r *targetapi.SearchReply) { r.Attempt++ },
+		"workspace": func(r *targetapi.SearchReply) { r.Workspace = "molina-shop" },
+		"shard":     func(r *targetapi.SearchReply) { r.Shard++ },
+		"snapshot":  func(r *targetapi.SearchReply) { r.Snapshot.IndexVersion++ },
+		"hit":       func(r *targetapi.SearchReply) { r.Hits = []targetapi.Hit{{ID: "x", Workspace: "molina-shop"}} },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			client, c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+				reply := targetapi.SearchReply{Identity: decode(r).Identity}
+				change(&reply)
+				_ = json.NewEncoder(w).Encode(reply)
+			}, 2)
+			_, err := client.Search(context.Background(), "target-1", testRequest(1), Options{})
+			is.Equal(status.CodeOf(err), status.ReplyMismatch)
+			is.Equal(status.From(err).Outcome, status.Unknown)
+			is.Equal(c.mismatch.Load(), int64(1))
+			is.Equal(client.Connections("target-1"), 0) // The connection is closed.
+		})
+	}
+}
+
+// Guards P4: a refusal proves "not run" only when it names the attempt.
+func TestRefusalOfAnotherAttemptProvesNothing(t *testing.T) {
+	is := is.New(t)
+	foreign := false
+	client, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		refusal := targetapi.Refusal{Identity: decode(r).Identity, Code: status.Shed, NotRun: true, RetryAfterMS: 20}
+		if foreign {
+			refusal.RequestID = "r-2"
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(refusal)
+	}, 2)
+	_, err := client.Search(context.Background(), "target-1", testRequest(1), Options{})
+	is.Equal(status.From(err).Outcome, status.NotRun)
+	is.Equal(status.From(err).RetryAfter, 20*time.Millisecond)
+	foreign = true
+	_, err = client.Search(context.Background(), "target-1", testRequest(1), Options{})
+	is.Equal(status.From(err).Outcome, status.Unknown)
+}
+
+// Guards against "unknown" for a request that never left this process, and
+// against "not run" for one that was cancelled after it was sent.
+func TestOutcomeFollowsTheFirstByte(t *testing.T) {
+	is := is.New(t)
+	received := make(chan struct{}, 1)
+	client, _ := newTestClient(t, func(_ http.ResponseWriter, r *http.Request) {
+		decode(r)
+		received <- struct{}{}
+		<-r.Context().Done()
+	}, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := client.Search(ctx, "target-1", testRequest(1), Options{})
+		done <- err
+	}()
+	<-received
+	waiting, stopWaiting := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer stopWaiting()
+	_, err := client.Search(waiting, "target-1", testRequest(2), Options{})
+	is.Equal(status.From(err).Outcome, status.NotRun) // The only connection is busy.
+	cancel()
+	is.Equal(status.From(<-done).Outcome, status.Unknown)
+
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := lis.Addr().String()
+	lis.Close()
+	client.Configure([]sheet.Target{{ID: "target-2", Address: address}}, func(sheet.Target) int { return 1 })
+	_, err = client.Search(context.Background(), "target-2", testRequest(3), Options{})
+	is.Equal(status.From(err).Outcome, status.NotRun)
+}
+
+// Guards against more connections than this entry's share, and against a
+// waiter that is never woken.
+func TestConnectionsStayWithinTheShare(t *testing.T) {
+	is := is.New(t)
+	client, _ := newTestClient(t, echo, 3)
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	var most atomic.Int64
+	for n := range 200 {
+		wg.Go(func() {
+			opt := Options{FreshConnection: n%5 == 0}
+			if _, err := client.Search(context.Background(), "target-1", testRequest(n), opt); err != nil {
+				failed.Add(1)
+			}
+			if open := int64(client.Connections("target-1")); open > most.Load() {
+				most.Store(open)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(failed.Load(), int64(0))
+	is.True(most.Load() <= 3)
+}
+
+// Guards F8: an attempt on a silent connection ends while the target still
+// replies on others, and the idle connections that may be silent too are closed.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	client, c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		req := decode(r)
+		if req.RequestID == "r-0" {
+			<-r.Context().Done() // This connection stays silent.
+			return
+		}
+		_ = json.NewEncoder(w).Encode(targetapi.SearchReply{Identity: req.Identity})
+	}, 4)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		_, err := client.Search(ctx, "target-1", testRequest(0), Options{SilentAfter: 50 * time.Millisecond})
+		done <- err
+	}()
+	for n := 1; ; n++ {
+		select {
+		case err := <-done:
+			is.Equal(status.CodeOf(err), status.ConnectionSilent)
+			is.Equal(status.From(err).Outcome, status.Unknown)
+			is.Equal(c.silent.Load(), int64(1))
+			return
+		default:
+			_, err := client.Search(ctx, "target-1", testRequest(n), Options{})
+			is.NoErr(err)
+		}
+	}
+}
+
+// Guards against an unknown outcome only because the target had closed an idle
+// connection before the request was sent.
+func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(echo))
+	defer srv.Close()
+	client := New(&counts{})
+	defer client.Close()
+	client.Configure([]sheet.Target{{ID: "target-1", Address: srv.Listener.Addr().String()}}, func(sheet.Target) int { return 2 })
+	for n := range 20 {
+		_, err := client.Search(context.Background(), "target-1", testRequest(n), Options{})
+		is.NoErr(err)
+		srv.CloseClientConnections()
+	}
+}
+
+// Guards against a reply that fills the memory of the entry.
+func TestOversizedReplyIsRefused(t *testing.T) {
+	is := is.New(t)
+	client, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		decode(r)
+		block := make([]byte, 64<<10)
+		for range 2 * MaxReplyBytes / len(block) {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	}, 2)
+	_, err := client.Search(context.Background(), "target-1", testRequest(1), Options{})
+	is.True(err != nil)
+	is.Equal(status.From(err).Outcome, status.Unknown)
+}
+
+func FuzzDecodeReply(f *testing.F) {
+	want := testRequest(1).Identity
+	valid, _ := json.Marshal(targetapi.SearchReply{Identity: want, Hits: []targetapi.Hit{{ID: "a"}}})
+	f.Add(200, valid)
+	f.Add(503, []byte(`{"code":"shed","not_run":true}`))
+	f.Add(200, []byte(`{"hits":null`))
+	f.Fuzz(func(t *testing.T, code int, body []byte) {
+		reply, err := decodeReply(code, body, want)
+		if err == nil && reply.Identity != want {
+			t.Fatal("a reply with another identity was accepted")
+		}
+		if err != nil && status.CodeOf(err) == "" {
+			t.Fatal("an error has no code")
+		}
+	})
+}
+
+// BenchmarkSearch measures the processor time of one sub-request, with the
+// stand-in server in the same process.
+func BenchmarkSearch(b *testing.B) {
+	srv := httptest.NewServer(http.HandlerFunc(echo))
+	defer srv.Close()
+	client := New(&counts{})
+	defer client.Close()
+	client.Configure([]sheet.Target{{ID: "target-1", Address: srv.Listener.Addr().String()}}, func(sheet.Target) int { return 16 })
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Search(context.Background(), "target-1", testRequest(1), Options{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
