Add faults by command to the stand-in target

Failure tests need stragglers, crashes, silent connections, shedding and draining on demand. POST /control and Target.Apply set them per target; the record marks what a crash or a lost client interrupted. Crash queries are recorded as started before the reset.

--- a/internal/standin/target/conns.go
+++ b/internal/standin/target/conns.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +18,11 @@
 	rejected *atomic.Int64
 
 	mu sync.Mutex
-	// open is guarded by mu. The value is the order of the accept.
-	open map[*trackedConn]struct{}
+	// The fields below are guarded by mu. The value in open is the number of
+	// the accept.
+	open   map[*trackedConn]uint64
+	next   uint64
+	closed bool
 }
 
 // Accept implements net.Listener.
@@ -37,17 +41,44 @@
 	}
 }
 
+// track returns nil when the cap is reached or the listener is shut.
 func (l *trackedListener) track(conn net.Conn) *trackedConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.open) >= l.limit {
+	if l.closed || len(l.open) >= l.limit {
 		return nil
 	}
 	tracked := &trackedConn{Conn: conn, listener: l, acceptedAt: time.Now()}
-	l.open[tracked] = struct{}{}
+	l.open[tracked] = l.next
+	l.next++
 	return tracked
 }
 
+// connections returns the open connections in the order of their accepts.
+func (l *trackedListener) connections() []*trackedConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.connectionsLocked()
+}
+
+func (l *trackedListener) connectionsLocked() []*trackedConn {
+	conns := make([]*trackedConn, 0, len(l.open))
+	for c := range l.open {
+		conns = append(conns, c)
+	}
+	slices.SortFunc(conns, func(a, b *trackedConn) int { return int(l.open[a]) - int(l.open[b]) })
+	return conns
+}
+
+// shut closes the listener, keeps further connections out and returns the open ones.
+func (l *trackedListener) shut() []*trackedConn {
+	l.Listener.Close() // A failure leaves nothing to undo.
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return l.connectionsLocked()
+}
+
 // trackedConn is a connection that can turn silent.
 type trackedConn struct {
 	net.Conn
@@ -72,6 +103,41 @@
 	return c.Conn.Close()
 }
 
+// reset closes the connection with a TCP reset.
+func (c *trackedConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) // A failure only turns the reset into a normal close.
+	}
+	c.Close()
+}
+
+// Silence makes the given fraction of the open connections stop replying for
+// ever: every one up to a fraction of 1, every second for one half. Zero means
+// all. It returns the number of connections that it made silent.
+func (t *Target) Silence(fraction float64) int { return t.silence(fraction, nil) }
+
+// silence is Silence that leaves the connection keep alone.
+func (t *Target) silence(fraction float64, keep *trackedConn) int {
+	if fraction == 0 {
+		fraction = 1
+	}
+	t.mu.Lock()
+	listener := t.listener
+	t.mu.Unlock()
+	if listener == nil {
+		return 0
+	}
+	silenced := 0
+	conns := slices.DeleteFunc(listener.connections(), func(c *trackedConn) bool { return c == keep })
+	for i, conn := range conns {
+		if float64(silenced) < fraction*float64(i+1) {
+			conn.silent.Store(true)
+			silenced++
+		}
+	}
+	return silenced
+}
+
 type connKey struct{}
 
 func withConn(ctx context.Context, conn net.Conn) context.Context {
--- /dev/null
+++ b/internal/standin/target/control.go
@@ -0,0 +1,122 @@
+package target
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// Paths of the control interface.
+const (
+	// ControlPath takes a POST with a Command.
+	ControlPath = "/control"
+	// RecordPath answers a GET with a Record.
+	RecordPath = "/control/record"
+	// RecordsPath answers a GET with the Records of all targets in the process.
+	RecordsPath = "/control/records"
+)
+
+// ErrorReply is the body of a control reply with a status of 400 or above.
+type ErrorReply struct {
+	Code    status.Code `json:"code"`
+	Message string      `json:"message"`
+}
+
+// ControlReply is the body of the reply to POST /control.
+type ControlReply struct {
+	// Targets lists the ids of the targets that carried out the command.
+	Targets []string `json:"targets"`
+}
+
+// Records is the content of GET /control/records.
+type Records struct {
+	Records []Record `json:"records"`
+}
+
+// control serves the control interface of a group of targets.
+type control struct {
+	// self is the target whose listener received the command, or nil.
+	self *Target
+	all  func() []*Target
+}
+
+func (c control) register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+ControlPath, c.post)
+	mux.HandleFunc("GET "+RecordPath, c.getRecord)
+	mux.HandleFunc("GET "+RecordsPath, c.getRecords)
+}
+
+// find returns the targets that id selects.
+func (c control) find(id string) ([]*Target, *status.Error) {
+	switch {
+	case id == "*":
+		return c.all(), nil
+	case id == "" && c.self != nil:
+		return []*Target{c.self}, nil
+	case id == "":
+		return nil, status.New(status.InvalidArgument, "", "a target id is needed here")
+	}
+	for _, t := range c.all() {
+		if t.ID() == id {
+			return []*Target{t}, nil
+		}
+	}
+	return nil, status.New(status.NotFound, "", "target %q is not in this process", id)
+}
+
+func (c control) post(w http.ResponseWriter, r *http.Request) {
+	var cmd Command
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&cmd); err != nil {
+		sendError(w, status.Wrap(err, status.InvalidArgument, "", "the body is not a command"))
+		return
+	}
+	if err := cmd.check(); err != nil {
+		sendError(w, status.From(err))
+		return
+	}
+	targets, bad := c.find(cmd.Target)
+	if bad != nil {
+		sendError(w, bad)
+		return
+	}
+	reply := ControlReply{}
+	for _, t := range targets {
+		t.apply(cmd, connOf(r))
+		reply.Targets = append(reply.Targets, t.ID())
+	}
+	sendControl(w, http.StatusOK, reply)
+}
+
+func (c control) getRecord(w http.ResponseWriter, r *http.Request) {
+	targets, bad := c.find(r.URL.Query().Get("target"))
+	if bad == nil && len(targets) != 1 {
+		bad = status.New(status.InvalidArgument, "", "use %s for several targets", RecordsPath)
+	}
+	if bad != nil {
+		sendError(w, bad)
+		return
+	}
+	sendControl(w, http.StatusOK, targets[0].Record())
+}
+
+func (c control) getRecords(w http.ResponseWriter, _ *http.Request) {
+	reply := Records{Records: []Record{}}
+	for _, t := range c.all() {
+		reply.Records = append(reply.Records, t.Record())
+	}
+	sendControl(w, http.StatusOK, reply)
+}
+
+func sendError(w http.ResponseWriter, err *status.Error) {
+	sendControl(w, status.HTTPStatus(err.Code), ErrorReply{Code: err.Code, Message: err.Error()})
+}
+
+// sendControl replies and closes the connection, so that control clients do not
+// hold connections that count towards the cap.
+func sendControl(w http.ResponseWriter, code int, value any) {
+	w.Header().Set("Connection", "close")
+	writeJSON(w, nil, code, value)
+}
--- /dev/null
+++ b/internal/standin/target/faults_test.go
@@ -0,0 +1,232 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+// longMS is a time in milliseconds that no test waits for.
+const longMS = maxDelayMS
+
+// eventually polls until ok holds. The test's own timeout bounds it.
+func eventually(ok func() bool) {
+	for !ok() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// startSearch sends a search that the caller expects to hang, and waits until
+// it runs. The error arrives on the channel.
+func startSearch(target *Target, client *http.Client, query string) <-chan error {
+	started := target.Record().Started
+	done := make(chan error, 1)
+	go func() {
+		var reply targetapi.SearchReply
+		_, err := post(client, target, testRequest(query), &reply)
+		done <- err
+	}()
+	eventually(func() bool { return target.Record().Started > started })
+	return done
+}
+
+// Guards against a crash that loses the record of what started, or that leaves
+// connections or the listener open.
+func TestCrashOnQuery(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{ServiceTimeMSMedian: longMS, Slots: 2, ColdMS: longMS})
+	is.NoErr(target.Apply(Command{Fault: FaultCrash, Query: "poison", RestartMS: longMS}))
+	bystander := startSearch(target, newClient(t), "innocent")
+
+	var reply targetapi.SearchReply
+	_, err := post(newClient(t), target, testRequest("poison"), &reply)
+	is.True(err != nil)
+	is.True(<-bystander != nil)
+	_, err = net.Dial("tcp", target.Addr())
+	is.True(err != nil)
+	for _, run := range target.Record().Runs {
+		is.Equal(run.End, EndCrashed)
+		is.True(!run.ReplySent)
+	}
+	is.Equal(target.Record().Started, uint64(2))
+}
+
+// Guards against a crashed target that never returns or returns warm.
+func TestCrashedTargetRestartsCold(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{ColdMS: longMS})
+	target.Crash(time.Millisecond)
+	client := newClient(t)
+	var reply targetapi.SearchReply
+	eventually(func() bool {
+		_, err := post(client, target, testRequest("q"), &reply)
+		return err == nil
+	})
+	is.True(target.currentStatus(time.Now()).Cold)
+}
+
+// Guards against silent connections that still answer, and against new
+// connections that do not.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{})
+	old := newClient(t)
+	var reply targetapi.SearchReply
+	_, err := post(old, target, testRequest("a"), &reply)
+	is.NoErr(err)
+	is.Equal(target.Silence(1), 1)
+
+	hanging := startSearch(target, old, "b")
+	_, err = post(newClient(t), target, testRequest("c"), &reply)
+	is.NoErr(err)
+	select {
+	case err := <-hanging:
+		t.Fatal("the silent connection answered", err)
+	default:
+	}
+	runs := target.Record().Runs
+	is.Equal(runs[1].Query, "b")
+	is.True(!runs[1].ReplySent)
+	is.True(runs[2].ReplySent)
+}
+
+// Guards against a fraction that silences the wrong number of connections.
+func TestSilenceHalf(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{})
+	for range 5 {
+		var reply targetapi.SearchReply
+		_, err := post(newClient(t), target, testRequest("q"), &reply)
+		is.NoErr(err)
+	}
+	is.Equal(target.Silence(0.5), 3)
+}
+
+// Guards against connections above the cap being served.
+func TestConnectionCap(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{MaxConnections: 1})
+	var reply targetapi.SearchReply
+	first := newClient(t)
+	_, err := post(first, target, testRequest("q"), &reply)
+	is.NoErr(err)
+	_, err = post(newClient(t), target, testRequest("q"), &reply)
+	is.True(err != nil)
+	first.CloseIdleConnections()
+	eventually(func() bool {
+		_, err := post(newClient(t), target, testRequest("q"), &reply)
+		return err == nil
+	})
+}
+
+// Guards against attempts above slots and queue that run or wait without bound.
+func TestShedsAboveSlotsAndQueue(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{Slots: 1, Queue: 1, QueueWaitMS: 1, ServiceTimeMSMedian: longMS})
+	startSearch(target, newClient(t), "long")
+	for range 3 {
+		var refusal targetapi.Refusal
+		_, err := post(newClient(t), target, testRequest("q"), &refusal)
+		is.NoErr(err)
+		is.Equal(refusal.Code, status.Shed)
+		is.True(refusal.NotRun)
+	}
+	is.Equal(target.Record().Started, uint64(1))
+}
+
+// Guards against a drain that interrupts running attempts or lets new ones in.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{ServiceTimeMSMedian: 200})
+	running := startSearch(target, newClient(t), "q")
+	target.SetDraining(true)
+	var refusal targetapi.Refusal
+	_, err := post(newClient(t), target, testRequest("q"), &refusal)
+	is.NoErr(err)
+	is.Equal(refusal.Code, status.Draining)
+	is.True(refusal.NotRun)
+	is.NoErr(<-running)
+	is.NoErr(target.Shutdown(context.Background()))
+	is.Equal(target.Record().Runs[0].End, EndCompleted)
+}
+
+// Guards against work that goes on after its client has gone.
+func TestCancellation(t *testing.T) {
+	target := startTarget(t, Config{ServiceTimeMSMedian: longMS})
+	ctx, cancel := context.WithCancel(context.Background())
+	body, err := json.Marshal(testRequest("q"))
+	is.New(t).NoErr(err)
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+target.Addr()+targetapi.SearchPath, bytes.NewReader(body))
+	is.New(t).NoErr(err)
+	done := make(chan error, 1)
+	client := newClient(t)
+	go func() {
+		_, err := client.Do(req)
+		done <- err
+	}()
+	eventually(func() bool { return target.Record().Started == 1 })
+	cancel()
+	is.New(t).True(errors.Is(<-done, context.Canceled))
+	eventually(func() bool { return target.Record().Runs[0].End == EndCanceled })
+}
+
+// Guards against faults that outlive their count or their removal.
+func TestCountAndOff(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{})
+	client := newClient(t)
+	is.NoErr(target.Apply(Command{Fault: FaultShed, Count: 1}))
+	var reply struct{ Code status.Code }
+	send := func() status.Code {
+		reply.Code = ""
+		_, err := post(client, target, testRequest("q"), &reply)
+		is.NoErr(err)
+		return reply.Code
+	}
+	is.Equal(send(), status.Shed)
+	is.Equal(send(), status.Code(""))
+	is.NoErr(target.Apply(Command{Fault: FaultShed}))
+	is.Equal(send(), status.Shed)
+	is.NoErr(target.Apply(Command{Fault: FaultShed, Off: true}))
+	is.Equal(send(), status.Code(""))
+}
+
+// Guards against commands that reach the wrong target or pass unchecked.
+func TestControlOverHTTP(t *testing.T) {
+	is := is.New(t)
+	s := NewSettings()
+	s.Services = map[string]Service{"clamps": {Snapshots: []ids.Snapshot{testSnapshot}}}
+	for _, id := range []string{"t1", "t2"} {
+		s.Targets = append(s.Targets, Config{ID: id, Zone: "a", Address: "127.0.0.1:0"})
+	}
+	fleet := NewFleet(s, zerolog.Nop())
+	is.NoErr(fleet.Start())
+	t.Cleanup(fleet.Close)
+	client := newClient(t)
+	control := func(body string) int {
+		url := "http://" + fleet.Target("t1").Addr() + ControlPath
+		resp, err := client.Post(url, "application/json", bytes.NewReader([]byte(body)))
+		is.NoErr(err)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	is.Equal(control(`{"target":"t2","fault":"drain"}`), http.StatusOK)
+	is.True(fleet.Target("t2").currentStatus(time.Now()).Draining)
+	is.True(!fleet.Target("t1").currentStatus(time.Now()).Draining)
+	is.Equal(control(`{"target":"t9","fault":"drain"}`), http.StatusNotFound)
+	is.Equal(control(`{"fault":"slow","factor":-1}`), http.StatusBadRequest)
+	is.Equal(control(`{"fault":"slow","faktor":2}`), http.StatusBadRequest)
+	is.Equal(control(`{"fault":"crash","restart_ms":600000}`), http.StatusOK) // The command's own connection survives.
+}
--- a/internal/standin/target/fleet.go
+++ b/internal/standin/target/fleet.go
@@ -2,20 +2,35 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
 
 	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 // Fleet is a set of targets in one process.
 type Fleet struct {
 	targets []*Target
+	// control serves the control interface on controlAddress, if set.
+	control        *http.Server
+	controlAddress string
+	serving        sync.WaitGroup
+	log            zerolog.Logger
 }
 
 // NewFleet returns the targets of the settings.
 func NewFleet(s *Settings, log zerolog.Logger) *Fleet {
-	f := &Fleet{}
+	mux := http.NewServeMux()
+	f := &Fleet{control: &http.Server{Handler: mux}, controlAddress: s.ControlAddress, log: log}
+	control{all: f.Targets}.register(mux)
 	for _, cfg := range s.Targets {
-		f.targets = append(f.targets, New(cfg, s.Services, log))
+		t := New(cfg, s.Services, log)
+		t.peers = f.Targets
+		f.targets = append(f.targets, t)
 	}
 	return f
 }
@@ -29,6 +44,19 @@
 			return err
 		}
 	}
+	if f.controlAddress == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", f.controlAddress)
+	if err != nil {
+		f.Close()
+		return status.Wrap(err, status.Unavailable, "", "the control interface cannot listen on %s", f.controlAddress)
+	}
+	f.serving.Go(func() {
+		if err := f.control.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			f.log.Error().Err(err).Msg("control listener failed")
+		}
+	})
 	return nil
 }
 
@@ -57,6 +85,7 @@
 			first = err
 		}
 	}
+	f.closeControl()
 	return first
 }
 
@@ -65,4 +94,10 @@
 	for _, t := range f.targets {
 		t.Close()
 	}
+	f.closeControl()
+}
+
+func (f *Fleet) closeControl() {
+	f.control.Close() // Only the listener's close can fail, and it is gone either way.
+	f.serving.Wait()
 }
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -1,16 +1,12 @@
 package target
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
 
-// RecordPath is the path of the record (GET).
-const RecordPath = "/control/record"
-
 // Ends of a recorded attempt.
 const (
 	// EndRunning marks an attempt that still runs.
@@ -86,13 +82,27 @@
 	change(run)
 }
 
-func (r *recorder) finish(run *Run, end string) {
-	r.update(run, func(run *Run) {
+// finish ends a run and reports whether it was still running.
+func (r *recorder) finish(run *Run, end string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if run.End != EndRunning {
+		return false
+	}
+	run.End, run.EndUnixUS = end, time.Now().UnixMicro()
+	return true
+}
+
+// crash ends all running attempts.
+func (r *recorder) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now().UnixMicro()
+	for _, run := range r.runs {
 		if run.End == EndRunning {
-			run.End = end
-			run.EndUnixUS = time.Now().UnixMicro()
+			run.End, run.EndUnixUS = EndCrashed, now
 		}
-	})
+	}
 }
 
 // list returns copies, oldest first.
@@ -117,7 +127,3 @@
 		Runs:    runs,
 	}
 }
-
-func (t *Target) getRecord(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, r, http.StatusOK, t.Record())
-}
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -28,27 +28,36 @@
 		return
 	}
 	if err := t.payDialCost(r); err != nil {
-		return // The client has gone.
+		abort()
 	}
-	if err := t.refusal(&req); err != nil {
+	if err := t.refusal(&req, true); err != nil {
 		t.refuse(w, &req, err)
 		return
 	}
-	if err := t.acquireSlot(r.Context(), &req); err != nil {
-		if r.Context().Err() == nil {
-			t.refuse(w, &req, err)
-		}
+	if err := t.acquireSlot(r.Context()); err != nil {
+		t.refuse(w, &req, err)
 		return
 	}
-	defer func() { <-t.slots }()
 	// The state may have changed during the wait.
-	if err := t.refusal(&req); err != nil {
-		t.refuse(w, &req, err)
-		return
+	bad := t.refusal(&req, false)
+	var run *Run
+	if bad == nil {
+		run = t.run(r, &req)
+	}
+	<-t.slots
+	switch {
+	case bad != nil:
+		t.refuse(w, &req, bad)
+	case run != nil:
+		t.reply(w, r, &req, run)
+	default:
+		abort()
 	}
-	t.run(w, r, &req)
 }
 
+// abort ends a handler without a reply and closes its connection.
+func abort() { panic(http.ErrAbortHandler) }
+
 // payDialCost delays the first reply of a new connection.
 func (t *Target) payDialCost(r *http.Request) error {
 	conn := connOf(r)
@@ -58,14 +67,15 @@
 	return wait(r.Context(), time.Until(conn.acceptedAt.Add(milliseconds(t.cfg.DialCostMS))))
 }
 
-// refusal returns the reason not to run req, or nil.
-func (t *Target) refusal(req *targetapi.SearchRequest) *status.Error {
+// refusal returns the reason not to run req, or nil. Load is shed on arrival only.
+func (t *Target) refusal(req *targetapi.SearchRequest, arrival bool) *status.Error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.draining {
+	now := time.Now()
+	if t.match(FaultDrain, req.Query, now) != nil {
 		return status.New(status.Draining, status.NotRun, "target %s is leaving", t.cfg.ID)
 	}
-	if req.DeadlineUnixMS > 0 && time.Now().UnixMilli() >= req.DeadlineUnixMS {
+	if req.DeadlineUnixMS > 0 && now.UnixMilli() >= req.DeadlineUnixMS {
 		return status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed")
 	}
 	snapshots, ok := t.snapshots[req.Service]
@@ -76,11 +86,14 @@
 		return status.New(status.VersionUnavailable, status.NotRun, "snapshot %d/%d of %s is not on offer",
 			req.Snapshot.IndexVersion, req.Snapshot.ShardMapEpoch, req.Service)
 	}
+	if arrival && t.match(FaultShed, req.Query, now) != nil {
+		return status.New(status.Shed, status.NotRun, "the target sheds load").WithRetryAfter(shedRetryAfter)
+	}
 	return nil
 }
 
 // acquireSlot waits for a slot in the short queue.
-func (t *Target) acquireSlot(ctx context.Context, req *targetapi.SearchRequest) *status.Error {
+func (t *Target) acquireSlot(ctx context.Context) *status.Error {
 	select {
 	case t.slots <- struct{}{}:
 		return nil
@@ -104,17 +117,33 @@
 	}
 }
 
-// run does the work of an attempt that holds a slot.
-func (t *Target) run(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest) {
+// run does the work of an attempt that holds a slot. It returns nil when the
+// attempt did not end.
+func (t *Target) run(r *http.Request, req *targetapi.SearchRequest) *Run {
 	run := t.record.start(req)
 	t.running.Add(1)
-	err := wait(r.Context(), t.serviceTime(time.Now()))
-	t.running.Add(-1)
-	if err != nil {
+	defer t.running.Add(-1)
+	if rule := t.affects(FaultCrash, req.Query); rule != nil {
+		t.Crash(time.Duration(rule.RestartMS) * time.Millisecond)
+		return nil
+	}
+	if err := wait(r.Context(), t.serviceTime(req.Query, time.Now())); err != nil {
 		t.record.finish(run, EndCanceled)
-		return
+		return nil
+	}
+	if !t.record.finish(run, EndCompleted) {
+		return nil // The target crashed meanwhile.
+	}
+	return run
+}
+
+// reply sends the answer of an attempt that ran. It holds no slot.
+func (t *Target) reply(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest, run *Run) {
+	if rule := t.affects(FaultDelay, req.Query); rule != nil {
+		if wait(r.Context(), time.Duration(rule.DelayMS)*time.Millisecond) != nil {
+			abort()
+		}
 	}
-	t.record.finish(run, EndCompleted)
 	reply := targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)}
 	sent := writeJSON(w, r, http.StatusOK, reply)
 	t.record.update(run, func(run *Run) { run.ReplySent = sent })
@@ -149,7 +178,7 @@
 		Target:    t.cfg.ID,
 		InFlight:  int(t.running.Load()),
 		Slots:     t.cfg.Slots,
-		Draining:  t.draining,
+		Draining:  t.inForce(FaultDrain, now),
 		Cold:      t.isCold(now),
 		Snapshots: snapshots,
 	}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -35,18 +35,26 @@
 	record  recorder
 	counts  counters
 	// closing is closed by Shutdown and Close. It ends waits without a bound.
-	closing   chan struct{}
-	closeOnce sync.Once
+	closing chan struct{}
+
+	// serving counts the goroutines that accept connections.
+	serving sync.WaitGroup
+	// peers returns all targets of the process for the control interface.
+	peers func() []*Target
 
 	mu sync.Mutex
-	// The fields below are guarded by mu.
+	// The fields below are guarded by mu. The listener and the server are nil
+	// before the start and after a crash.
 	rng       *rand.Rand
+	faultRNG  *rand.Rand
 	listener  *trackedListener
 	server    *http.Server
+	restart   *time.Timer
+	closed    bool
 	address   string
 	startedAt time.Time
 	snapshots map[string][]ids.Snapshot
-	draining  bool
+	rules     map[Fault]*rule
 }
 
 // New returns a target that serves the given snapshots of each service. Zero
@@ -61,12 +69,12 @@
 		closing: make(chan struct{}),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		address: cfg.Address,
+
+		faultRNG: newFaultRNG(cfg.Seed),
+		rules:    make(map[Fault]*rule),
 	}
-	snapshots := make(map[string][]ids.Snapshot, len(services))
-	for name, s := range services {
-		snapshots[name] = s.Snapshots
-	}
-	t.SetSnapshots(snapshots)
+	t.peers = func() []*Target { return []*Target{t} }
+	t.SetSnapshots(snapshotsOf(services))
 	return t
 }
 
@@ -91,15 +99,15 @@
 	return nil
 }
 
-// Start serves ln in the background until Shutdown or Close. The target is cold
-// from now on.
+// Start serves ln in the background until Shutdown, Close or a crash. The
+// target is cold from now on. A closed target closes ln.
 func (t *Target) Start(ln net.Listener) {
 	tracked := &trackedListener{
 		Listener: ln,
 		limit:    t.cfg.MaxConnections,
 		accepted: &t.counts.accepted,
 		rejected: &t.counts.rejected,
-		open:     make(map[*trackedConn]struct{}),
+		open:     make(map[*trackedConn]uint64),
 	}
 	server := &http.Server{
 		Handler: t.handler(),
@@ -108,28 +116,30 @@
 		},
 	}
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		ln.Close() // Nothing has used it.
+		return
+	}
 	t.listener = tracked
 	t.server = server
 	t.address = ln.Addr().String()
 	t.startedAt = time.Now()
-	t.mu.Unlock()
-	go func() {
+	t.serving.Go(func() {
 		if err := server.Serve(tracked); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			t.log.Error().Err(err).Msg("listener failed")
 		}
-	}()
+	})
 }
 
 // Shutdown stops accepting connections and waits for running attempts until
 // ctx ends.
 func (t *Target) Shutdown(ctx context.Context) error {
-	t.closeOnce.Do(func() { close(t.closing) })
-	t.mu.Lock()
-	server := t.server
-	t.mu.Unlock()
+	server := t.stop()
 	if server == nil {
 		return nil
 	}
+	defer t.serving.Wait()
 	if err := server.Shutdown(ctx); err != nil {
 		server.Close()
 		return status.Wrap(err, status.DeadlineExceeded, "", "target %s still had running attempts", t.cfg.ID)
@@ -139,13 +149,24 @@
 
 // Close stops the target at once and closes all connections.
 func (t *Target) Close() {
-	t.closeOnce.Do(func() { close(t.closing) })
-	t.mu.Lock()
-	server := t.server
-	t.mu.Unlock()
-	if server != nil {
+	if server := t.stop(); server != nil {
 		server.Close() // Only the listener's close can fail, and it is gone either way.
 	}
+	t.serving.Wait()
+}
+
+// stop ends waits and restarts for ever and returns the running server, if any.
+func (t *Target) stop() *http.Server {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closed {
+		t.closed = true
+		close(t.closing)
+	}
+	if t.restart != nil {
+		t.restart.Stop()
+	}
+	return t.server
 }
 
 // SetSnapshots replaces the snapshots on offer, by service.
@@ -160,27 +181,28 @@
 
 // SetDraining starts or ends the refusal of new attempts. Running attempts finish.
 func (t *Target) SetDraining(draining bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.draining = draining
+	t.apply(Command{Fault: FaultDrain, Off: !draining}, nil)
 }
 
 func (t *Target) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+targetapi.SearchPath, t.search)
 	mux.HandleFunc("GET "+targetapi.StatusPath, t.status)
-	mux.HandleFunc("GET "+RecordPath, t.getRecord)
+	control{self: t, all: t.peers}.register(mux)
 	return mux
 }
 
 // serviceTime draws the work time of one attempt.
-func (t *Target) serviceTime(now time.Time) time.Duration {
+func (t *Target) serviceTime(query string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ms := t.cfg.ServiceTimeMSMedian * math.Exp(t.cfg.ServiceTimeSigma*t.rng.NormFloat64())
 	if t.isCold(now) {
 		ms *= coldFactor
 	}
+	if r := t.match(FaultSlow, query, now); r != nil {
+		ms *= r.Factor
+	}
 	return milliseconds(ms)
 }
 
