--- a/internal/standin/target/conns.go
+++ b/internal/standin/target/conns.go
@@ -85,6 +85,9 @@
 	listener   *trackedListener
 	acceptedAt time.Time
 	silent     atomic.Bool
+	// stale is a copy of an earlier reply, sent before the next one. Only the
+	// handler of the connection's current request uses it.
+	stale []byte
 }
 
 // Write drops the data of a silent connection and reports success.
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -28,6 +28,16 @@
 	FaultShed Fault = "shed"
 	// FaultDrain refuses attempts as draining. Running attempts finish.
 	FaultDrain Fault = "drain"
+	// FaultResetBeforeRun resets the connection after the request has been read.
+	// The attempt does not run.
+	FaultResetBeforeRun Fault = "reset_before_run"
+	// FaultResetAfterRun resets the connection when the attempt has run.
+	FaultResetAfterRun Fault = "reset_after_run"
+	// FaultNeverReply runs attempts without ever replying. They hold no slot
+	// after their work.
+	FaultNeverReply Fault = "never_reply"
+	// FaultWrongReply sends replies of the given Kind.
+	FaultWrongReply Fault = "wrong_reply"
 	// FaultSnapshots replaces the snapshots on offer with Services.
 	FaultSnapshots Fault = "snapshots"
 	// FaultClear removes every fault. Snapshots and silent connections stay.
@@ -60,6 +70,13 @@
 	// RestartMS is the time in milliseconds for which a crashed target refuses
 	// connections (crash).
 	RestartMS int64 `json:"restart_ms,omitempty"`
+	// Kind is the kind of wrong reply (wrong_reply).
+	Kind Kind `json:"kind,omitempty"`
+	// Workspace owns the forged hit (wrong_reply, forged_hits). The default is "forged".
+	Workspace string `json:"workspace,omitempty"`
+	// Bytes is the padding of an oversized reply (wrong_reply, oversized). The
+	// default is 16 MiB.
+	Bytes int64 `json:"bytes,omitempty"`
 	// Services holds the snapshots by service (snapshots).
 	Services map[string]Service `json:"services,omitempty"`
 }
@@ -177,7 +194,8 @@
 }
 
 var faults = []Fault{
-	FaultSlow, FaultDelay, FaultSilent, FaultCrash, FaultShed, FaultDrain, FaultSnapshots, FaultClear,
+	FaultSlow, FaultDelay, FaultSilent, FaultCrash, FaultShed, FaultDrain,
+	FaultResetBeforeRun, FaultResetAfterRun, FaultNeverReply, FaultWrongReply, FaultSnapshots, FaultClear,
 }
 
 // maxFactor bounds the slow factor.
@@ -201,6 +219,10 @@
 		return invalid("off", c.Off, "false for this fault")
 	case c.Fault == FaultSlow && !c.Off && (c.Factor <= 0 || c.Factor > maxFactor):
 		return invalid("factor", c.Factor, fmt.Sprintf("a number above 0, at most %d", maxFactor))
+	case c.Fault == FaultWrongReply && !c.Off && !slices.Contains(kinds, c.Kind):
+		return invalid("kind", c.Kind, fmt.Sprintf("one of %q", kinds))
+	case c.Bytes < 0 || c.Bytes > maxOversizedBytes:
+		return invalid("bytes", c.Bytes, fmt.Sprintf("a number from 0 to %d", maxOversizedBytes))
 	case c.Fault == FaultSnapshots && len(c.Services) == 0:
 		return invalid("services", "{}", "at least one service")
 	}
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// latestOther returns the most recent run with another identity.
+func (r *recorder) latestOther(id targetapi.Identity) (Run, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for back := range uint64(len(r.runs)) {
+		if run := r.runs[(r.started-1-back)%uint64(r.limit)]; run.Identity != id {
+			return *run, true
+		}
+	}
+	return Run{}, false
+}
+
 // list returns copies, oldest first.
 func (r *recorder) list() (started uint64, runs []Run) {
 	r.mu.Lock()
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -30,6 +30,13 @@
 	if err := t.payDialCost(r); err != nil {
 		abort()
 	}
+	if conn := connOf(r); conn != nil && conn.stale != nil {
+		writeRaw(r, conn.stale)
+		conn.stale = nil
+	}
+	if t.affects(FaultResetBeforeRun, req.Query) != nil {
+		resetConn(r)
+	}
 	if err := t.refusal(&req, true); err != nil {
 		t.refuse(w, &req, err)
 		return
@@ -139,13 +146,14 @@
 
 // reply sends the answer of an attempt that ran. It holds no slot.
 func (t *Target) reply(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest, run *Run) {
-	if rule := t.affects(FaultDelay, req.Query); rule != nil {
-		if wait(r.Context(), time.Duration(rule.DelayMS)*time.Millisecond) != nil {
-			abort()
-		}
+	t.holdReply(r, req, run)
+	var sent bool
+	if rule := t.affects(FaultWrongReply, req.Query); rule != nil {
+		t.noteFault(run, string(rule.Kind))
+		sent = t.sendWrong(w, r, req, rule)
+	} else {
+		sent = writeJSON(w, r, http.StatusOK, targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)})
 	}
-	reply := targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)}
-	sent := writeJSON(w, r, http.StatusOK, reply)
 	t.record.update(run, func(run *Run) { run.ReplySent = sent })
 }
 
@@ -187,11 +195,15 @@
 // writeJSON sends a whole reply and reports whether the client can receive it.
 // r may be nil when the result does not matter.
 func writeJSON(w http.ResponseWriter, r *http.Request, code int, value any) bool {
+	return writeBody(w, r, code, marshal(value))
+}
+
+func marshal(value any) []byte {
 	body, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // All reply types have a JSON form.
 	}
-	return writeBody(w, r, code, body)
+	return body
 }
 
 func writeBody(w http.ResponseWriter, r *http.Request, code int, body []byte) bool {
@@ -201,6 +213,12 @@
 	if _, err := w.Write(body); err != nil {
 		return false
 	}
+	return flush(w, r)
+}
+
+// flush hands the reply to the connection and reports whether the client can
+// receive it.
+func flush(w http.ResponseWriter, r *http.Request) bool {
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return false
 	}
