Add counters and misleading status reports to the stand-in target

Benches need the load that targets really saw, and replica choice must be tested against reports that lag or mislead.

--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -11,10 +11,13 @@
 const (
 	// ControlPath takes a POST with a Command.
 	ControlPath = "/control"
-	// RecordPath answers a GET with a Record.
+	// RecordPath answers a GET with a Record. A DELETE empties the records and
+	// the counters.
 	RecordPath = "/control/record"
 	// RecordsPath answers a GET with the Records of all targets in the process.
 	RecordsPath = "/control/records"
+	// CountersPath answers a GET with a CountersReply.
+	CountersPath = "/control/counters"
 )
 
 // ErrorReply is the body of a control reply with a status of 400 or above.
@@ -34,6 +37,11 @@
 	Records []Record `json:"records"`
 }
 
+// CountersReply is the content of GET /control/counters.
+type CountersReply struct {
+	Counters []Counters `json:"counters"`
+}
+
 // control serves the control interface of a group of targets.
 type control struct {
 	// self is the target whose listener received the command, or nil.
@@ -44,7 +52,9 @@
 func (c control) register(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+ControlPath, c.post)
 	mux.HandleFunc("GET "+RecordPath, c.getRecord)
+	mux.HandleFunc("DELETE "+RecordPath, c.deleteRecord)
 	mux.HandleFunc("GET "+RecordsPath, c.getRecords)
+	mux.HandleFunc("GET "+CountersPath, c.getCounters)
 }
 
 // find returns the targets that id selects.
@@ -110,6 +120,32 @@
 	sendControl(w, http.StatusOK, reply)
 }
 
+func (c control) deleteRecord(w http.ResponseWriter, r *http.Request) {
+	targets, bad := c.find(r.URL.Query().Get("target"))
+	if bad != nil {
+		sendError(w, bad)
+		return
+	}
+	for _, t := range targets {
+		t.ResetRecord()
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (c control) getCounters(w http.ResponseWriter, r *http.Request) {
+	targets, bad := c.find(r.URL.Query().Get("target"))
+	if bad != nil {
+		sendError(w, bad)
+		return
+	}
+	reply := CountersReply{}
+	for _, t := range targets {
+		reply.Counters = append(reply.Counters, t.Counters())
+	}
+	sendControl(w, http.StatusOK, reply)
+}
+
 func sendError(w http.ResponseWriter, err *status.Error) {
 	sendControl(w, status.HTTPStatus(err.Code), ErrorReply{Code: err.Code, Message: err.Error()})
 }
--- a/internal/standin/target/counters.go
+++ b/internal/standin/target/counters.go
@@ -1,8 +1,89 @@
 package target
 
-import "sync/atomic"
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+)
+
+// Counters counts what happened on a target since its start or the last reset.
+type Counters struct {
+	Target              string `json:"target"`
+	ConnectionsAccepted int64  `json:"connections_accepted"`
+	// ConnectionsRejected counts the connections closed because of the cap.
+	ConnectionsRejected int64 `json:"connections_rejected"`
+	// ConnectionsOpen is the number of connections open now.
+	ConnectionsOpen int64 `json:"connections_open"`
+	// Started counts the attempts that ran, whatever their end.
+	Started   int64 `json:"started"`
+	Completed int64 `json:"completed"`
+	Canceled  int64 `json:"canceled"`
+	Crashed   int64 `json:"crashed"`
+	// Replies counts the replies of attempts that ran, wrong ones included.
+	Replies int64 `json:"replies"`
+	// PeakRunning is the largest number of attempts that ran at once.
+	PeakRunning int64 `json:"peak_running"`
+	// BusyUS is the time spent in the slots, in microseconds.
+	BusyUS int64 `json:"busy_us"`
+	// Crashes counts the crashes of the target.
+	Crashes int64 `json:"crashes"`
+	// Refused counts refusals by code.
+	Refused map[string]int64 `json:"refused"`
+	// Faults counts the replies that a fault changed, withheld or reset, by
+	// fault or kind.
+	Faults map[string]int64 `json:"faults"`
+}
 
 type counters struct {
 	accepted atomic.Int64
 	rejected atomic.Int64
+
+	mu sync.Mutex
+	// values is guarded by mu. Its connection counts are not used.
+	values Counters
+}
+
+func (c *counters) add(change func(*Counters)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.values.Refused == nil {
+		c.values.Refused = make(map[string]int64)
+		c.values.Faults = make(map[string]int64)
+	}
+	change(&c.values)
+}
+
+func (c *counters) reset() {
+	c.accepted.Store(0)
+	c.rejected.Store(0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.values = Counters{}
+}
+
+// Counters returns the current counts.
+func (t *Target) Counters() Counters {
+	var copied Counters
+	t.counts.add(func(c *Counters) {
+		copied = *c
+		copied.Refused = maps.Clone(c.Refused)
+		copied.Faults = maps.Clone(c.Faults)
+	})
+	copied.Target = t.cfg.ID
+	copied.ConnectionsAccepted = t.counts.accepted.Load()
+	copied.ConnectionsRejected = t.counts.rejected.Load()
+	t.mu.Lock()
+	listener := t.listener
+	t.mu.Unlock()
+	if listener != nil {
+		copied.ConnectionsOpen = int64(len(listener.connections()))
+	}
+	return copied
+}
+
+// ResetRecord empties the record and the counters. Attempts that still run are
+// forgotten too.
+func (t *Target) ResetRecord() {
+	t.record.reset()
+	t.counts.reset()
 }
--- a/internal/standin/target/crash.go
+++ b/internal/standin/target/crash.go
@@ -28,7 +28,11 @@
 	t.mu.Unlock()
 
 	t.log.Warn().Dur("restart", restart).Msg("crashed")
-	t.record.crash()
+	crashed := t.record.crash()
+	t.counts.add(func(c *Counters) {
+		c.Crashes++
+		c.Crashed += crashed
+	})
 	for _, conn := range listener.shut() {
 		if conn != keep {
 			conn.reset()
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -38,6 +38,8 @@
 	FaultNeverReply Fault = "never_reply"
 	// FaultWrongReply sends replies of the given Kind.
 	FaultWrongReply Fault = "wrong_reply"
+	// FaultStatus makes GET /v1/status report the state of LagMS ago or the Report.
+	FaultStatus Fault = "status"
 	// FaultSnapshots replaces the snapshots on offer with Services.
 	FaultSnapshots Fault = "snapshots"
 	// FaultClear removes every fault. Snapshots and silent connections stay.
@@ -77,10 +79,21 @@
 	// Bytes is the padding of an oversized reply (wrong_reply, oversized). The
 	// default is 16 MiB.
 	Bytes int64 `json:"bytes,omitempty"`
+	// LagMS is the age of the reported state in milliseconds (status).
+	LagMS int64 `json:"lag_ms,omitempty"`
+	// Report replaces the reported state (status).
+	Report *Report `json:"report,omitempty"`
 	// Services holds the snapshots by service (snapshots).
 	Services map[string]Service `json:"services,omitempty"`
 }
 
+// Report is a state that a target claims to be in.
+type Report struct {
+	InFlight int  `json:"in_flight"`
+	Draining bool `json:"draining"`
+	Cold     bool `json:"cold"`
+}
+
 // rule is a fault in force.
 type rule struct {
 	Command
@@ -103,6 +116,7 @@
 // apply carries out a checked command. The connection keep, which may be nil,
 // neither turns silent nor is reset.
 func (t *Target) apply(cmd Command, keep *trackedConn) {
+	defer t.noteState()
 	t.log.Info().Str("fault", string(cmd.Fault)).Bool("off", cmd.Off).Msg("command")
 	switch {
 	case cmd.Fault == FaultClear:
@@ -195,7 +209,7 @@
 
 var faults = []Fault{
 	FaultSlow, FaultDelay, FaultSilent, FaultCrash, FaultShed, FaultDrain,
-	FaultResetBeforeRun, FaultResetAfterRun, FaultNeverReply, FaultWrongReply, FaultSnapshots, FaultClear,
+	FaultResetBeforeRun, FaultResetAfterRun, FaultNeverReply, FaultWrongReply, FaultStatus, FaultSnapshots, FaultClear,
 }
 
 // maxFactor bounds the slow factor.
@@ -215,6 +229,8 @@
 		return invalid("delay_ms", c.DelayMS, fmt.Sprintf("a number from 0 to %d", maxDelayMS))
 	case c.RestartMS < 0 || c.RestartMS > maxDelayMS:
 		return invalid("restart_ms", c.RestartMS, fmt.Sprintf("a number from 0 to %d", maxDelayMS))
+	case c.LagMS < 0 || c.LagMS > maxStatusLagMS:
+		return invalid("lag_ms", c.LagMS, fmt.Sprintf("a number from 0 to %d", maxStatusLagMS))
 	case c.Off && (c.Fault == FaultSilent || c.Fault == FaultSnapshots):
 		return invalid("off", c.Off, "false for this fault")
 	case c.Fault == FaultSlow && !c.Off && (c.Factor <= 0 || c.Factor > maxFactor):
--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -74,7 +74,7 @@
 		_, err := post(client, target, testRequest("q"), &reply)
 		return err == nil
 	})
-	is.True(target.currentStatus(time.Now()).Cold)
+	is.True(target.Status().Cold)
 }
 
 // Guards against silent connections that still answer, and against new
@@ -223,10 +223,56 @@
 		return resp.StatusCode
 	}
 	is.Equal(control(`{"target":"t2","fault":"drain"}`), http.StatusOK)
-	is.True(fleet.Target("t2").currentStatus(time.Now()).Draining)
-	is.True(!fleet.Target("t1").currentStatus(time.Now()).Draining)
+	is.True(fleet.Target("t2").Status().Draining)
+	is.True(!fleet.Target("t1").Status().Draining)
 	is.Equal(control(`{"target":"t9","fault":"drain"}`), http.StatusNotFound)
 	is.Equal(control(`{"fault":"slow","factor":-1}`), http.StatusBadRequest)
 	is.Equal(control(`{"fault":"slow","faktor":2}`), http.StatusBadRequest)
 	is.Equal(control(`{"fault":"crash","restart_ms":600000}`), http.StatusOK) // The command's own connection survives.
 }
+
+// Guards against status reports that show the present state when they should lag or mislead.
+func TestStatusLagsAndMisleads(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{ServiceTimeMSMedian: longMS})
+	startSearch(target, newClient(t), "q")
+	is.Equal(target.Status().InFlight, 1)
+	is.NoErr(target.Apply(Command{Fault: FaultStatus, Report: &Report{InFlight: 0, Draining: true}}))
+	is.Equal(target.Status().InFlight, 0)
+	is.True(target.Status().Draining)
+	is.NoErr(target.Apply(Command{Fault: FaultStatus, Off: true}))
+
+	base := time.Now().Add(time.Hour)
+	target.history.add(sample{at: base, inFlight: 5})
+	target.history.add(sample{at: base.Add(time.Second), inFlight: 6})
+	old, ok := target.history.at(base.Add(time.Second / 2))
+	is.True(ok)
+	is.Equal(old.inFlight, 5)
+	// A state that follows at once must not be lost: an idle target adds no later one.
+	target.history.add(sample{at: base.Add(time.Second + 1), inFlight: 0})
+	last, _ := target.history.at(base.Add(time.Minute))
+	is.Equal(last.inFlight, 0)
+}
+
+// Guards against counters that miss attempts, refusals or crashes.
+func TestCounters(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{})
+	var reply targetapi.SearchReply
+	_, err := post(newClient(t), target, testRequest("q"), &reply)
+	is.NoErr(err)
+	is.NoErr(target.Apply(Command{Fault: FaultShed, Count: 1}))
+	_, err = post(newClient(t), target, testRequest("q"), &reply)
+	is.NoErr(err)
+	target.Crash(0)
+	eventually(func() bool { return target.Counters().Replies == 1 })
+	counts := target.Counters()
+	is.Equal(counts.Started, int64(1))
+	is.Equal(counts.Completed, int64(1))
+	is.Equal(counts.Refused["shed"], int64(1))
+	is.Equal(counts.Crashes, int64(1))
+	is.Equal(counts.ConnectionsAccepted, int64(2))
+	target.ResetRecord()
+	is.Equal(target.Counters().Started, int64(0))
+	is.Equal(len(target.Record().Runs), 0)
+}
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -93,16 +93,25 @@
 	return true
 }
 
-// crash ends all running attempts.
-func (r *recorder) crash() {
+// reset forgets all runs.
+func (r *recorder) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs, r.started = nil, 0
+}
+
+// crash ends all running attempts and returns their number.
+func (r *recorder) crash() (crashed int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now().UnixMicro()
 	for _, run := range r.runs {
 		if run.End == EndRunning {
 			run.End, run.EndUnixUS = EndCrashed, now
+			crashed++
 		}
 	}
+	return crashed
 }
 
 // latestOther returns the most recent run with another identity.
--- a/internal/standin/target/replies.go
+++ b/internal/standin/target/replies.go
@@ -188,4 +188,9 @@
 
 func (t *Target) noteFault(run *Run, fault string) {
 	t.record.update(run, func(run *Run) { run.Fault = fault })
+	t.countFault(fault)
+}
+
+func (t *Target) countFault(fault string) {
+	t.counts.add(func(c *Counters) { c.Faults[fault]++ })
 }
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -35,6 +34,7 @@
 		conn.stale = nil
 	}
 	if t.affects(FaultResetBeforeRun, req.Query) != nil {
+		t.countFault(string(FaultResetBeforeRun))
 		resetConn(r)
 	}
 	if err := t.refusal(&req, true); err != nil {
@@ -128,19 +128,32 @@
 // attempt did not end.
 func (t *Target) run(r *http.Request, req *targetapi.SearchRequest) *Run {
 	run := t.record.start(req)
-	t.running.Add(1)
-	defer t.running.Add(-1)
+	running := t.running.Add(1)
+	t.counts.add(func(c *Counters) {
+		c.Started++
+		c.PeakRunning = max(c.PeakRunning, running)
+	})
+	t.noteState()
+	start := time.Now()
+	defer func() {
+		t.running.Add(-1)
+		t.counts.add(func(c *Counters) { c.BusyUS += time.Since(start).Microseconds() })
+		t.noteState()
+	}()
 	if rule := t.affects(FaultCrash, req.Query); rule != nil {
 		t.Crash(time.Duration(rule.RestartMS) * time.Millisecond)
 		return nil
 	}
 	if err := wait(r.Context(), t.serviceTime(req.Query, time.Now())); err != nil {
-		t.record.finish(run, EndCanceled)
+		if t.record.finish(run, EndCanceled) {
+			t.counts.add(func(c *Counters) { c.Canceled++ })
+		}
 		return nil
 	}
 	if !t.record.finish(run, EndCompleted) {
 		return nil // The target crashed meanwhile.
 	}
+	t.counts.add(func(c *Counters) { c.Completed++ })
 	return run
 }
 
@@ -154,10 +167,14 @@
 	} else {
 		sent = writeJSON(w, r, http.StatusOK, targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)})
 	}
-	t.record.update(run, func(run *Run) { run.ReplySent = sent })
+	if sent {
+		t.record.update(run, func(run *Run) { run.ReplySent = true })
+		t.counts.add(func(c *Counters) { c.Replies++ })
+	}
 }
 
 func (t *Target) refuse(w http.ResponseWriter, req *targetapi.SearchRequest, err *status.Error) {
+	t.counts.add(func(c *Counters) { c.Refused[string(err.Code)]++ })
 	if err.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((err.RetryAfter+time.Second-1)/time.Second)))
 	}
@@ -170,28 +187,6 @@
 	})
 }
 
-// status handles GET /v1/status.
-func (t *Target) status(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, r, http.StatusOK, t.currentStatus(time.Now()))
-}
-
-func (t *Target) currentStatus(now time.Time) targetapi.Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	snapshots := make(map[string][]ids.Snapshot, len(t.snapshots))
-	for name, list := range t.snapshots {
-		snapshots[name] = slices.Clone(list)
-	}
-	return targetapi.Status{
-		Target:    t.cfg.ID,
-		InFlight:  int(t.running.Load()),
-		Slots:     t.cfg.Slots,
-		Draining:  t.inForce(FaultDrain, now),
-		Cold:      t.isCold(now),
-		Snapshots: snapshots,
-	}
-}
-
 // writeJSON sends a whole reply and reports whether the client can receive it.
 // r may be nil when the result does not matter.
 func writeJSON(w http.ResponseWriter, r *http.Request, code int, value any) bool {
--- a/internal/standin/target/settings.go
+++ b/internal/standin/target/settings.go
@@ -135,7 +135,7 @@
 	c.Range(path+"cold_ms", t.ColdMS, 0, maxDelayMS)
 	c.Range(path+"queue", int64(t.Queue), 0, maxSlots)
 	c.Range(path+"queue_wait_ms", t.QueueWaitMS, 0, maxDelayMS)
-	c.Range(path+"status_lag_ms", t.StatusLagMS, 0, maxDelayMS)
+	c.Range(path+"status_lag_ms", t.StatusLagMS, 0, maxStatusLagMS)
 	c.Range(path+"record_limit", int64(t.RecordLimit), 0, maxRecord)
 }
 
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -34,6 +34,9 @@
 	running atomic.Int64
 	record  recorder
 	counts  counters
+	history history
+	// statusLag is the lag of the status report when no fault sets another.
+	statusLag time.Duration
 	// closing is closed by Shutdown and Close. It ends waits without a bound.
 	closing chan struct{}
 
@@ -70,8 +73,9 @@
 		rng:     rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		address: cfg.Address,
 
-		faultRNG: newFaultRNG(cfg.Seed),
-		rules:    make(map[Fault]*rule),
+		statusLag: time.Duration(cfg.StatusLagMS) * time.Millisecond,
+		faultRNG:  newFaultRNG(cfg.Seed),
+		rules:     make(map[Fault]*rule),
 	}
 	t.peers = func() []*Target { return []*Target{t} }
 	t.SetSnapshots(snapshotsOf(services))
