--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -94,7 +95,7 @@
 	}
 	reply := ControlReply{}
 	for _, t := range targets {
-		t.apply(cmd, connOf(r))
+		t.apply(cmd, tracked.Of(r))
 		reply.Targets = append(reply.Targets, t.ID())
 	}
 	sendControl(w, http.StatusOK, reply)
--- a/internal/standin/target/counters.go
+++ b/internal/standin/target/counters.go
@@ -3,7 +3,8 @@
 import (
 	"maps"
 	"sync"
-	"sync/atomic"
+
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 )
 
 // Counters counts what happened on a target since its start or the last reset.
@@ -35,8 +36,7 @@
 }
 
 type counters struct {
-	accepted atomic.Int64
-	rejected atomic.Int64
+	connections tracked.Counts
 
 	mu sync.Mutex
 	// values is guarded by mu. Its connection counts are not used.
@@ -54,8 +54,8 @@
 }
 
 func (c *counters) reset() {
-	c.accepted.Store(0)
-	c.rejected.Store(0)
+	c.connections.Accepted.Store(0)
+	c.connections.Rejected.Store(0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.values = Counters{}
@@ -70,13 +70,13 @@
 		copied.Faults = maps.Clone(c.Faults)
 	})
 	copied.Target = t.cfg.ID
-	copied.ConnectionsAccepted = t.counts.accepted.Load()
-	copied.ConnectionsRejected = t.counts.rejected.Load()
+	copied.ConnectionsAccepted = t.counts.connections.Accepted.Load()
+	copied.ConnectionsRejected = t.counts.connections.Rejected.Load()
 	t.mu.Lock()
 	listener := t.listener
 	t.mu.Unlock()
 	if listener != nil {
-		copied.ConnectionsOpen = int64(len(listener.connections()))
+		copied.ConnectionsOpen = int64(len(listener.Connections()))
 	}
 	return copied
 }
--- a/internal/standin/target/crash.go
+++ b/internal/standin/target/crash.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 )
 
 // listenRetry is the pause between attempts to listen again after a crash,
@@ -15,7 +17,7 @@
 func (t *Target) Crash(restart time.Duration) { t.crash(restart, nil) }
 
 // crash is Crash that leaves the connection keep alone.
-func (t *Target) crash(restart time.Duration, keep *trackedConn) {
+func (t *Target) crash(restart time.Duration, keep *tracked.Conn) {
 	t.mu.Lock()
 	listener := t.listener
 	if listener == nil || t.closed {
@@ -33,11 +35,7 @@
 		c.Crashes++
 		c.Crashed += crashed
 	})
-	for _, conn := range listener.shut() {
-		if conn != keep {
-			conn.reset()
-		}
-	}
+	listener.Shut(keep)
 }
 
 func (t *Target) relisten() {
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -115,7 +116,7 @@
 
 // apply carries out a checked command. The connection keep, which may be nil,
 // neither turns silent nor is reset.
-func (t *Target) apply(cmd Command, keep *trackedConn) {
+func (t *Target) apply(cmd Command, keep *tracked.Conn) {
 	defer t.noteState()
 	t.log.Info().Str("fault", string(cmd.Fault)).Bool("off", cmd.Off).Msg("command")
 	switch {
--- a/internal/standin/target/replies.go
+++ b/internal/standin/target/replies.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -73,9 +74,7 @@
 		return sent
 	case KindLateDuplicate:
 		sent := writeJSON(w, r, http.StatusOK, right)
-		if conn := connOf(r); conn != nil {
-			conn.stale = rawReply(right)
-		}
+		t.keepStale(r, rawReply(right))
 		return sent
 	case KindForgedHits:
 		owner := rule.Workspace
@@ -124,11 +123,37 @@
 // writeRaw writes bytes past the HTTP server, which has nothing buffered at
 // that time.
 func writeRaw(r *http.Request, data []byte) {
-	if conn := connOf(r); conn != nil {
+	if conn := tracked.Of(r); conn != nil {
 		conn.Write(data) // The client sees a broken connection in any case.
 	}
 }
 
+// keepStale keeps a copy of a reply until the next request of the connection.
+func (t *Target) keepStale(r *http.Request, reply []byte) {
+	conn := tracked.Of(r)
+	if conn == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.stale) >= t.cfg.MaxConnections {
+		clear(t.stale) // Most of the connections have gone by then.
+	}
+	t.stale[conn] = reply
+}
+
+// sendStale sends the copy kept for the connection, if any.
+func (t *Target) sendStale(r *http.Request) {
+	conn := tracked.Of(r)
+	t.mu.Lock()
+	reply := t.stale[conn]
+	delete(t.stale, conn)
+	t.mu.Unlock()
+	if reply != nil {
+		writeRaw(r, reply)
+	}
+}
+
 // writeOversized pads the body of an extra hit, in pieces to save memory.
 func writeOversized(w http.ResponseWriter, r *http.Request, reply targetapi.SearchReply, size int64) bool {
 	if size == 0 {
@@ -180,8 +205,8 @@
 
 // resetConn resets the connection of a request and ends its handler.
 func resetConn(r *http.Request) {
-	if conn := connOf(r); conn != nil {
-		conn.reset()
+	if conn := tracked.Of(r); conn != nil {
+		conn.Reset()
 	}
 	abort()
 }
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -29,10 +30,7 @@
 	if err := t.payDialCost(r); err != nil {
 		abort()
 	}
-	if conn := connOf(r); conn != nil && conn.stale != nil {
-		writeRaw(r, conn.stale)
-		conn.stale = nil
-	}
+	t.sendStale(r)
 	if t.affects(FaultResetBeforeRun, req.Query) != nil {
 		t.countFault(string(FaultResetBeforeRun))
 		resetConn(r)
@@ -67,11 +65,11 @@
 
 // payDialCost delays the first reply of a new connection.
 func (t *Target) payDialCost(r *http.Request) error {
-	conn := connOf(r)
+	conn := tracked.Of(r)
 	if conn == nil {
 		return nil
 	}
-	return wait(r.Context(), time.Until(conn.acceptedAt.Add(milliseconds(t.cfg.DialCostMS))))
+	return wait(r.Context(), time.Until(conn.AcceptedAt.Add(milliseconds(t.cfg.DialCostMS))))
 }
 
 // refusal returns the reason not to run req, or nil. Load is shed on arrival only.
@@ -220,8 +218,8 @@
 	if r == nil {
 		return true
 	}
-	conn := connOf(r)
-	return conn == nil || !conn.silent.Load()
+	conn := tracked.Of(r)
+	return conn == nil || !conn.Silent()
 }
 
 // wait sleeps for d or until ctx ends.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
@@ -50,7 +51,7 @@
 	// before the start and after a crash.
 	rng       *rand.Rand
 	faultRNG  *rand.Rand
-	listener  *trackedListener
+	listener  *tracked.Listener
 	server    *http.Server
 	restart   *time.Timer
 	closed    bool
@@ -58,6 +59,8 @@
 	startedAt time.Time
 	snapshots map[string][]ids.Snapshot
 	rules     map[Fault]*rule
+	// stale holds the copies of replies to be sent before the next ones.
+	stale map[*tracked.Conn][]byte
 }
 
 // New returns a target that serves the given snapshots of each service. Zero
@@ -76,6 +79,7 @@
 		statusLag: time.Duration(cfg.StatusLagMS) * time.Millisecond,
 		faultRNG:  newFaultRNG(cfg.Seed),
 		rules:     make(map[Fault]*rule),
+		stale:     make(map[*tracked.Conn][]byte),
 	}
 	t.peers = func() []*Target { return []*Target{t} }
 	t.SetSnapshots(snapshotsOf(services))
@@ -106,31 +110,20 @@
 // Start serves ln in the background until Shutdown, Close or a crash. The
 // target is cold from now on. A closed target closes ln.
 func (t *Target) Start(ln net.Listener) {
-	tracked := &trackedListener{
-		Listener: ln,
-		limit:    t.cfg.MaxConnections,
-		accepted: &t.counts.accepted,
-		rejected: &t.counts.rejected,
-		open:     make(map[*trackedConn]uint64),
-	}
-	server := &http.Server{
-		Handler: t.handler(),
-		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return withConn(ctx, conn)
-		},
-	}
+	listener := tracked.NewListener(ln, t.cfg.MaxConnections, &t.counts.connections)
+	server := &http.Server{Handler: t.handler(), ConnContext: tracked.Context}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		ln.Close() // Nothing has used it.
 		return
 	}
-	t.listener = tracked
+	t.listener = listener
 	t.server = server
 	t.address = ln.Addr().String()
 	t.startedAt = time.Now()
 	t.serving.Go(func() {
-		if err := server.Serve(tracked); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			t.log.Error().Err(err).Msg("listener failed")
 		}
 	})
