--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -1,16 +1,12 @@
 package target
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
 
-// RecordPath is the path of the record (GET).
-const RecordPath = "/control/record"
-
 // Ends of a recorded attempt.
 const (
 	// EndRunning marks an attempt that still runs.
@@ -86,13 +82,48 @@
 	change(run)
 }
 
-func (r *recorder) finish(run *Run, end string) {
-	r.update(run, func(run *Run) {
+// finish ends a run and reports whether it was still running.
+func (r *recorder) finish(run *Run, end string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if run.End != EndRunning {
+		return false
+	}
+	run.End, run.EndUnixUS = end, time.Now().UnixMicro()
+	return true
+}
+
+// reset forgets all runs.
+func (r *recorder) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs, r.started = nil, 0
+}
+
+// crash ends all running attempts and returns their number.
+func (r *recorder) crash() (crashed int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now().UnixMicro()
+	for _, run := range r.runs {
 		if run.End == EndRunning {
-			run.End = end
-			run.EndUnixUS = time.Now().UnixMicro()
+			run.End, run.EndUnixUS = EndCrashed, now
+			crashed++
+		}
+	}
+	return crashed
+}
+
+// latestOther returns the most recent run with another identity.
+func (r *recorder) latestOther(id targetapi.Identity) (Run, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for back := range uint64(len(r.runs)) {
+		if run := r.runs[(r.started-1-back)%uint64(r.limit)]; run.Identity != id {
+			return *run, true
 		}
-	})
+	}
+	return Run{}, false
 }
 
 // list returns copies, oldest first.
@@ -117,7 +148,3 @@
 		Runs:    runs,
 	}
 }
-
-func (t *Target) getRecord(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, r, http.StatusOK, t.Record())
-}
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -28,44 +28,59 @@
 		return
 	}
 	if err := t.payDialCost(r); err != nil {
-		return // The client has gone.
+		abort()
 	}
-	if err := t.refusal(&req); err != nil {
+	t.sendStale(r)
+	if t.affects(FaultResetBeforeRun, req.Query) != nil {
+		t.countFault(string(FaultResetBeforeRun))
+		resetConn(r)
+	}
+	if err := t.refusal(&req, true); err != nil {
 		t.refuse(w, &req, err)
 		return
 	}
-	if err := t.acquireSlot(r.Context(), &req); err != nil {
-		if r.Context().Err() == nil {
-			t.refuse(w, &req, err)
-		}
+	if err := t.acquireSlot(r.Context()); err != nil {
+		t.refuse(w, &req, err)
 		return
 	}
-	defer func() { <-t.slots }()
 	// The state may have changed during the wait.
-	if err := t.refusal(&req); err != nil {
-		t.refuse(w, &req, err)
-		return
+	bad := t.refusal(&req, false)
+	var run *Run
+	if bad == nil {
+		run = t.run(r, &req)
+	}
+	<-t.slots
+	switch {
+	case bad != nil:
+		t.refuse(w, &req, bad)
+	case run != nil:
+		t.reply(w, r, &req, run)
+	default:
+		abort()
 	}
-	t.run(w, r, &req)
 }
 
+// abort ends a handler without a reply and closes its connection.
+func abort() { panic(http.ErrAbortHandler) }
+
 // payDialCost delays the first reply of a new connection.
 func (t *Target) payDialCost(r *http.Request) error {
-	conn := connOf(r)
+	conn := tracked.Of(r)
 	if conn == nil {
 		return nil
 	}
-	return wait(r.Context(), time.Until(conn.acceptedAt.Add(milliseconds(t.cfg.DialCostMS))))
+	return wait(r.Context(), time.Until(conn.AcceptedAt.Add(milliseconds(t.cfg.DialCostMS))))
 }
 
-// refusal returns the reason not to run req, or nil.
-func (t *Target) refusal(req *targetapi.SearchRequest) *status.Error {
+// refusal returns the reason not to run req, or nil. Load is shed on arrival only.
+func (t *Target) refusal(req *targetapi.SearchRequest, arrival bool) *status.Error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.draining {
+	now := time.Now()
+	if t.match(FaultDrain, req.Query, now) != nil {
 		return status.New(status.Draining, status.NotRun, "target %s is leaving", t.cfg.ID)
 	}
-	if req.DeadlineUnixMS > 0 && time.Now().UnixMilli() >= req.DeadlineUnixMS {
+	if req.DeadlineUnixMS > 0 && now.UnixMilli() >= req.DeadlineUnixMS {
 		return status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed")
 	}
 	snapshots, ok := t.snapshots[req.Service]
@@ -76,11 +91,14 @@
 		return status.New(status.VersionUnavailable, status.NotRun, "snapshot %d/%d of %s is not on offer",
 			req.Snapshot.IndexVersion, req.Snapshot.ShardMapEpoch, req.Service)
 	}
+	if arrival && t.match(FaultShed, req.Query, now) != nil {
+		return status.New(status.Shed, status.NotRun, "the target sheds load").WithRetryAfter(shedRetryAfter)
+	}
 	return nil
 }
 
 // acquireSlot waits for a slot in the short queue.
-func (t *Target) acquireSlot(ctx context.Context, req *targetapi.SearchRequest) *status.Error {
+func (t *Target) acquireSlot(ctx context.Context) *status.Error {
 	select {
 	case t.slots <- struct{}{}:
 		return nil
@@ -104,23 +122,57 @@
 	}
 }
 
-// run does the work of an attempt that holds a slot.
-func (t *Target) run(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest) {
+// run does the work of an attempt that holds a slot. It returns nil when the
+// attempt did not end.
+func (t *Target) run(r *http.Request, req *targetapi.SearchRequest) *Run {
 	run := t.record.start(req)
-	t.running.Add(1)
-	err := wait(r.Context(), t.serviceTime(time.Now()))
-	t.running.Add(-1)
-	if err != nil {
-		t.record.finish(run, EndCanceled)
-		return
+	running := t.running.Add(1)
+	t.counts.add(func(c *Counters) {
+		c.Started++
+		c.PeakRunning = max(c.PeakRunning, running)
+	})
+	t.noteState()
+	start := time.Now()
+	defer func() {
+		t.running.Add(-1)
+		t.counts.add(func(c *Counters) { c.BusyUS += time.Since(start).Microseconds() })
+		t.noteState()
+	}()
+	if rule := t.affects(FaultCrash, req.Query); rule != nil {
+		t.Crash(time.Duration(rule.RestartMS) * time.Millisecond)
+		return nil
+	}
+	if err := wait(r.Context(), t.serviceTime(req.Query, time.Now())); err != nil {
+		if t.record.finish(run, EndCanceled) {
+			t.counts.add(func(c *Counters) { c.Canceled++ })
+		}
+		return nil
+	}
+	if !t.record.finish(run, EndCompleted) {
+		return nil // The target crashed meanwhile.
+	}
+	t.counts.add(func(c *Counters) { c.Completed++ })
+	return run
+}
+
+// reply sends the answer of an attempt that ran. It holds no slot.
+func (t *Target) reply(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest, run *Run) {
+	t.holdReply(r, req, run)
+	var sent bool
+	if rule := t.affects(FaultWrongReply, req.Query); rule != nil {
+		t.noteFault(run, string(rule.Kind))
+		sent = t.sendWrong(w, r, req, rule)
+	} else {
+		sent = writeJSON(w, r, http.StatusOK, targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)})
+	}
+	if sent {
+		t.record.update(run, func(run *Run) { run.ReplySent = true })
+		t.counts.add(func(c *Counters) { c.Replies++ })
 	}
-	t.record.finish(run, EndCompleted)
-	reply := targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)}
-	sent := writeJSON(w, r, http.StatusOK, reply)
-	t.record.update(run, func(run *Run) { run.ReplySent = sent })
 }
 
 func (t *Target) refuse(w http.ResponseWriter, req *targetapi.SearchRequest, err *status.Error) {
+	t.counts.add(func(c *Counters) { c.Refused[string(err.Code)]++ })
 	if err.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int((err.RetryAfter+time.Second-1)/time.Second)))
 	}
@@ -133,36 +185,18 @@
 	})
 }
 
-// status handles GET /v1/status.
-func (t *Target) status(w http.ResponseWriter, r *http.Request) {
-	writeJSON(w, r, http.StatusOK, t.currentStatus(time.Now()))
-}
-
-func (t *Target) currentStatus(now time.Time) targetapi.Status {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	snapshots := make(map[string][]ids.Snapshot, len(t.snapshots))
-	for name, list := range t.snapshots {
-		snapshots[name] = slices.Clone(list)
-	}
-	return targetapi.Status{
-		Target:    t.cfg.ID,
-		InFlight:  int(t.running.Load()),
-		Slots:     t.cfg.Slots,
-		Draining:  t.draining,
-		Cold:      t.isCold(now),
-		Snapshots: snapshots,
-	}
-}
-
 // writeJSON sends a whole reply and reports whether the client can receive it.
 // r may be nil when the result does not matter.
 func writeJSON(w http.ResponseWriter, r *http.Request, code int, value any) bool {
+	return writeBody(w, r, code, marshal(value))
+}
+
+func marshal(value any) []byte {
 	body, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // All reply types have a JSON form.
 	}
-	return writeBody(w, r, code, body)
+	return body
 }
 
 func writeBody(w http.ResponseWriter, r *http.Request, code int, body []byte) bool {
@@ -172,14 +206,20 @@
 	if _, err := w.Write(body); err != nil {
 		return false
 	}
+	return flush(w, r)
+}
+
+// flush hands the reply to the connection and reports whether the client can
+// receive it.
+func flush(w http.ResponseWriter, r *http.Request) bool {
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return false
 	}
 	if r == nil {
 		return true
 	}
-	conn := connOf(r)
-	return conn == nil || !conn.silent.Load()
+	conn := tracked.Of(r)
+	return conn == nil || !conn.Silent()
 }
 
 // wait sleeps for d or until ctx ends.
