Add hedge: delay from the recent quantile and the budget left

Cause: 68 sub-requests per query turn a fixed p95 delay into 3.4 hedges per query, which spends the whole budget on ordinary sub-requests and leaves nothing for a stalled target. The part of sub-requests that may be hedged shrinks with the budget left, from p95 at a full budget to p99.9 at an empty one.

--- /dev/null
+++ b/coordination/hedge/example_test.go
@@ -0,0 +1,18 @@
+package hedge_test
+
+import (
+	"fmt"
+
+	"github.com/balsamstall/balsamstall/coordination/hedge"
+)
+
+func Example() {
+	tracker := hedge.New(hedge.DefaultSettings(), 0)
+	tracker.Primary(68) // a query was sent to 68 shards
+
+	// One sub-request has no answer after the delay.
+	delay := tracker.Delay(0)
+	decision := tracker.Decide(delay, hedge.Progress{Age: delay, Fanout: 68, Outstanding: 1})
+	fmt.Println(delay, decision.Verdict)
+	// Output: 50ms send
+}
--- /dev/null
+++ b/coordination/hedge/hedge_test.go
@@ -0,0 +1,125 @@
+package hedge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// warm returns a tracker whose latencies are 1 to 100 ms in equal parts.
+func warm(s Settings) (*Tracker, time.Duration) {
+	t, now := New(s, 0), time.Duration(0)
+	for i := range 2_000 {
+		now += ms
+		t.Observe(now, time.Duration(i*37%100+1)*ms)
+	}
+	return t, now
+}
+
+// Guards against more extra load than the budget, whatever the order of events.
+func TestHedgesStayInBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := DefaultSettings()
+		s.BudgetRatio = rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		s.Burst = rapid.Float64Range(0, 20).Draw(t, "burst")
+		tracker, now := warm(s)
+		primaries, hedges := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * ms
+			age := time.Duration(rapid.IntRange(0, 200).Draw(t, "age")) * ms
+			if rapid.Bool().Draw(t, "primary") {
+				n := rapid.IntRange(0, 68).Draw(t, "n")
+				tracker.Primary(n)
+				primaries += n
+			}
+			d := tracker.Decide(now, Progress{Age: age, Fanout: 68, Outstanding: 3})
+			if d.Verdict == Send {
+				hedges++
+			}
+			if (d.Verdict == Wait) != (age < tracker.Delay(now)) && d.Verdict != Send && s.BudgetRatio > 0 {
+				t.Fatalf("verdict %v at age %v, delay %v", d.Verdict, age, tracker.Delay(now))
+			}
+		}
+		if float64(hedges) > s.Burst+s.BudgetRatio*float64(primaries)+1e-6 {
+			t.Fatalf("%d hedges for %d primaries, ratio %v, burst %v", hedges, primaries, s.BudgetRatio, s.Burst)
+		}
+	})
+}
+
+// Guards against a delay that does not follow the latency or the budget.
+func TestDelayFollowsQuantileAndBudget(t *testing.T) {
+	is := is.New(t)
+	s := DefaultSettings()
+	is.Equal(New(s, 0).Delay(0), s.InitialDelay) // nothing is known
+	tracker, now := warm(s)
+	full := tracker.Delay(now)
+	is.True(full >= 94*ms && full <= 97*ms)
+	for range 100 {
+		tracker.Decide(now, Progress{Age: time.Second})
+	}
+	is.Equal(tracker.Decide(now, Progress{Age: time.Second}).Verdict, Exhausted)
+	is.True(tracker.Delay(now) > 98*ms)
+}
+
+// Guards against extra load on a service of which every target is slow.
+func TestNoHedgeWhenTheWholeServiceIsSlow(t *testing.T) {
+	is := is.New(t)
+	tracker, now := warm(DefaultSettings())
+	is.Equal(tracker.Decide(now, Progress{Age: 100 * ms}).Verdict, Send)
+	for range 1_000 {
+		now += ms
+		tracker.Observe(now, 300*ms)
+	}
+	is.Equal(tracker.Decide(now, Progress{Age: time.Second}).Verdict, Slow)
+	for range 3_000 {
+		now += ms
+		tracker.Observe(now, 50*ms)
+	}
+	is.Equal(tracker.Decide(now, Progress{Age: time.Second}).Verdict, Send) // it recovers
+}
+
+// Guards against extra load on a service of which no target answers at all.
+func TestNoHedgeWhenNothingIsAnswered(t *testing.T) {
+	is := is.New(t)
+	tracker, now := warm(DefaultSettings())
+	sent := 0
+	for range 2_000 {
+		now += ms
+		tracker.Primary(1)
+		if tracker.Decide(now, Progress{Age: time.Second}).Verdict == Send {
+			sent++
+		}
+	}
+	is.Equal(tracker.Decide(now, Progress{Age: time.Second}).Verdict, Slow)
+	is.True(sent < 150) // burst of 100 and 5% of the primaries until the service is slow
+}
+
+// Guards against allocation on the path of every sub-request.
+func TestSubRequestPathDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	tracker, now := warm(DefaultSettings())
+	is.Equal(testing.AllocsPerRun(1_000, func() {
+		now += 10 * time.Microsecond
+		subRequest(tracker, now)
+	}), 0.0)
+}
+
+func subRequest(tracker *Tracker, now time.Duration) {
+	tracker.Primary(1)
+	tracker.Delay(now)
+	tracker.Decide(now, Progress{Age: 99 * ms, Fanout: 68, Outstanding: 3})
+	tracker.Observe(now, 50*ms)
+}
+
+func BenchmarkSubRequest(b *testing.B) {
+	tracker, now := warm(DefaultSettings())
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 10 * time.Microsecond
+		subRequest(tracker, now)
+	}
+}
--- /dev/null
+++ b/coordination/hedge/sim_test.go
@@ -0,0 +1,284 @@
+package hedge
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/balsamstall/balsamstall/coordination/replica"
+)
+
+// scenario describes a simulated fleet. Every query searches fanout shards, each
+// held by three random targets.
+type scenario struct {
+	targets, slots, fanout, queries int
+	utilisation                     float64
+	// stalls is the number of stalls per second over the fleet. A stalled target
+	// runs stallFactor times slower for stallTime.
+	stalls, stallFactor float64
+	stallTime           time.Duration
+	// slowAll slows every target by stallFactor in the second quarter of the run.
+	slowAll bool
+}
+
+var (
+	noisy  = scenario{targets: 60, slots: 3, fanout: 68, queries: 8_000, utilisation: 0.4}
+	stalls = scenario{targets: 60, slots: 3, fanout: 68, queries: 8_000, utilisation: 0.4,
+		stalls: 4, stallFactor: 20, stallTime: 300 * time.Millisecond}
+	slow = scenario{targets: 60, slots: 3, fanout: 68, queries: 8_000, utilisation: 0.3,
+		stallFactor: 3, slowAll: true}
+)
+
+// Service time of one attempt: lognormal, with a rare tenfold value.
+const (
+	medianService = 4 * time.Millisecond
+	serviceSigma  = 0.5
+	rareService   = 0.003
+	meanService   = 4.65e-3 // seconds, measured over 1,000,000 draws
+)
+
+type simEvent struct {
+	at   time.Duration
+	kind int
+	a    *simAttempt
+	sub  *simSub
+}
+
+const (
+	evArrive = iota
+	evDone
+	evTimer
+	evStall
+)
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int           { return len(q) }
+func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type simTarget struct {
+	stats      *replica.Stats
+	running    int
+	waiting    []*simAttempt
+	stallUntil time.Duration
+}
+
+type simAttempt struct {
+	sub            *simSub
+	target         int
+	token          replica.Token
+	sent           time.Duration
+	running, ended bool
+}
+
+type simSub struct {
+	query    *simQuery
+	shard    int
+	repeated bool
+	attempts []*simAttempt
+}
+
+type simQuery struct {
+	start       time.Duration
+	outstanding int
+}
+
+type sim struct {
+	scenario
+	rng       *rand.Rand
+	now, end  time.Duration
+	events    simQueue
+	fleet     []simTarget
+	shards    [][3]int
+	tracker   *Tracker
+	latencies *hdrhistogram.Histogram
+	hedges    int
+	primaries int
+	refused   int
+}
+
+// simulate runs the scenario and returns the query latencies in microseconds and
+// the hedges per primary attempt.
+func simulate(sc scenario, settings Settings, seed uint64) *sim {
+	s := &sim{scenario: sc, rng: rand.New(rand.NewPCG(seed, 9)), tracker: New(settings, 0),
+		latencies: hdrhistogram.New(1, highestLatency, 3), fleet: make([]simTarget, sc.targets)}
+	rs := replica.DefaultSettings()
+	for i := range s.fleet {
+		s.fleet[i].stats = replica.NewStats(rs, 0)
+	}
+	for range sc.fanout {
+		p := s.rng.Perm(sc.targets)
+		s.shards = append(s.shards, [3]int{p[0], p[1], p[2]})
+	}
+	rate := float64(sc.targets*sc.slots) / meanService * sc.utilisation / float64(sc.fanout)
+	at := time.Duration(0)
+	for range sc.queries {
+		at += time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second))
+		s.push(simEvent{at: at, kind: evArrive})
+	}
+	s.end = at
+	if sc.stalls > 0 {
+		s.push(simEvent{kind: evStall})
+	}
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		s.step(e)
+	}
+	return s
+}
+
+func (s *sim) push(e simEvent) { heap.Push(&s.events, e) }
+
+func (s *sim) step(e simEvent) {
+	switch e.kind {
+	case evArrive:
+		q := &simQuery{start: s.now, outstanding: s.fanout}
+		s.tracker.Primary(s.fanout)
+		s.primaries += s.fanout
+		for shard := range s.fanout {
+			sub := &simSub{query: q, shard: shard}
+			s.send(sub)
+			s.push(simEvent{at: s.now + s.tracker.Delay(s.now), kind: evTimer, sub: sub})
+		}
+	case evDone:
+		if !e.a.ended {
+			s.answer(e.a)
+		}
+	case evTimer:
+		s.timer(e.sub)
+	case evStall:
+		s.fleet[s.rng.IntN(s.targets)].stallUntil = s.now + s.stallTime
+		if next := s.now + time.Duration(s.rng.ExpFloat64()/s.stalls*float64(time.Second)); next < s.end {
+			s.push(simEvent{at: next, kind: evStall})
+		}
+	}
+}
+
+func (s *sim) timer(sub *simSub) {
+	if sub.attempts == nil || len(sub.attempts) > 1 {
+		return
+	}
+	d := s.tracker.Decide(s.now, Progress{Age: s.now - sub.attempts[0].sent, Fanout: s.fanout, Outstanding: sub.query.outstanding, Repeated: sub.repeated})
+	switch d.Verdict {
+	case Send:
+		s.hedges++
+		s.send(sub)
+	case Off:
+	default:
+		s.refused++
+		sub.repeated = sub.repeated || d.Verdict != Wait
+		s.push(simEvent{at: s.now + max(d.Wait, 100*time.Microsecond), kind: evTimer, sub: sub})
+	}
+}
+
+func (s *sim) send(sub *simSub) {
+	var candidates [3]replica.Candidate
+	for i, target := range s.shards[sub.shard] {
+		candidates[i] = replica.Candidate{Target: target, Excluded: len(sub.attempts) > 0 && sub.attempts[0].target == target}
+	}
+	i, _ := replica.Pick(s.rng, candidates[:], func(target int) replica.Score { return s.fleet[target].stats.Score(s.now) })
+	a := &simAttempt{sub: sub, target: candidates[i].Target, sent: s.now}
+	t := &s.fleet[a.target]
+	a.token = t.stats.Start(s.now)
+	sub.attempts = append(sub.attempts, a)
+	t.waiting = append(t.waiting, a)
+	s.run(t)
+}
+
+func (s *sim) run(t *simTarget) {
+	for t.running < s.slots && len(t.waiting) > 0 {
+		a := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		if a.ended {
+			continue
+		}
+		t.running++
+		a.running = true
+		d := float64(medianService) * math.Exp(serviceSigma*s.rng.NormFloat64())
+		if s.rng.Float64() < rareService {
+			d *= 10
+		}
+		if s.now < t.stallUntil || s.slowAll && s.now > s.end/4 && s.now < s.end/2 {
+			d *= s.stallFactor
+		}
+		s.push(simEvent{at: s.now + time.Duration(d), kind: evDone, a: a})
+	}
+}
+
+func (s *sim) answer(a *simAttempt) {
+	sub := a.sub
+	s.tracker.Observe(s.now, s.now-a.sent)
+	for _, other := range sub.attempts {
+		class := replica.Canceled
+		if other == a {
+			class = replica.Success
+		}
+		other.ended = true
+		t := &s.fleet[other.target]
+		t.stats.Finish(other.token, s.now, class)
+		if other.running {
+			t.running--
+			s.run(t)
+		}
+	}
+	sub.attempts = nil
+	sub.query.outstanding--
+	if sub.query.outstanding == 0 {
+		_ = s.latencies.RecordValue((s.now - sub.query.start).Microseconds())
+	}
+}
+
+func BenchmarkRules(b *testing.B) {
+	rules := []struct {
+		name   string
+		change func(*Settings)
+	}{
+		{"none", func(s *Settings) { s.BudgetRatio, s.Burst = 0, 0 }},
+		{"p90", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.90, 0.90 }},
+		{"p95", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.95, 0.95 }},
+		{"p97", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.97, 0.97 }},
+		{"p99", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.99, 0.99 }},
+		{"p95-p99", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.95, 0.99 }},
+		{"p90-p99", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.90, 0.99 }},
+		{"p95-p999", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.95, 0.999 }},
+		{"p90-p999", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.90, 0.999 }},
+		{"p80-p999", func(s *Settings) { s.Quantile, s.ScarceQuantile = 0.80, 0.999 }},
+	}
+	for _, sc := range []struct {
+		name string
+		scenario
+	}{{"noisy", noisy}, {"stalls", stalls}, {"slow", slow}} {
+		for _, r := range rules {
+			b.Run(sc.name+"/"+r.name, func(b *testing.B) {
+				settings := DefaultSettings()
+				r.change(&settings)
+				var p50, p99, p999, load float64
+				for i := range b.N {
+					s := simulate(sc.scenario, settings, uint64(i+1))
+					p50 += float64(s.latencies.ValueAtQuantile(50)) / 1000
+					p99 += float64(s.latencies.ValueAtQuantile(99)) / 1000
+					p999 += float64(s.latencies.ValueAtQuantile(99.9)) / 1000
+					load += float64(s.hedges) / float64(s.primaries) * 100
+				}
+				n := float64(b.N)
+				b.ReportMetric(p50/n, "p50-ms")
+				b.ReportMetric(p99/n, "p99-ms")
+				b.ReportMetric(p999/n, "p999-ms")
+				b.ReportMetric(load/n, "hedges-%")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/coordination/hedge/tracker.go
@@ -0,0 +1,198 @@
+package hedge
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// Latencies are counted in microseconds with two digits (1%), up to 1 min.
+	highestLatency = int64(time.Minute / time.Microsecond)
+	latencyDigits  = 2
+	// refreshInterval is the age after which cached quantiles are computed anew.
+	refreshInterval = 100 * time.Millisecond
+	// slowDecay is the time constant of the recent median.
+	slowDecay = time.Second
+	// quantileSteps is the number of quantiles cached between Quantile and
+	// ScarceQuantile.
+	quantileSteps = 8
+	// minSlowWeight is the least number of recent samples that prove slowness.
+	minSlowWeight = 10
+	// slowPart is the part of recent samples above a value at which the median
+	// is above it.
+	slowPart = 0.5
+)
+
+// Tracker holds one service's recent latency and hedge budget. Create it with New.
+type Tracker struct {
+	settings Settings
+	tokens   float64
+
+	// current counts the running half of the window, previous the half before.
+	current, previous, merged *hdrhistogram.Histogram
+	rotatedAt, refreshedAt    time.Duration
+
+	// delays caches the delays from an empty (0) to a full budget.
+	delays [quantileSteps + 1]time.Duration
+
+	longTermMedian time.Duration
+	startedAt      time.Duration
+
+	// slow and total are decayed counts of recent samples.
+	slow, total float64
+	countedAt   time.Duration
+}
+
+// New returns a tracker with a full budget and no samples.
+func New(s Settings, now time.Duration) *Tracker {
+	t := &Tracker{
+		settings:    s,
+		tokens:      s.Burst,
+		current:     newHistogram(),
+		previous:    newHistogram(),
+		merged:      newHistogram(),
+		rotatedAt:   now,
+		refreshedAt: now,
+		startedAt:   now,
+		countedAt:   now,
+	}
+	for i := range t.delays {
+		t.delays[i] = t.clamp(s.InitialDelay)
+	}
+	return t
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, highestLatency, latencyDigits)
+}
+
+// SetBudgetRatio changes the budget ratio, for a new sheet.
+func (t *Tracker) SetBudgetRatio(ratio float64) { t.settings.BudgetRatio = ratio }
+
+// Primary adds the budget of n primary attempts.
+func (t *Tracker) Primary(n int) {
+	t.tokens = min(t.tokens+float64(n)*t.settings.BudgetRatio, t.settings.Burst)
+}
+
+// Observe counts the latency of an attempt that was answered, from its own send.
+func (t *Tracker) Observe(now, latency time.Duration) {
+	t.refresh(now)
+	// The value is in range, so that RecordValue cannot fail.
+	_ = t.current.RecordValue(min(max(latency.Microseconds(), 0), highestLatency))
+	t.count(now, latency)
+}
+
+// Delay returns the time from the send of a primary attempt to its Decide.
+func (t *Tracker) Delay(now time.Duration) time.Duration {
+	t.refresh(now)
+	return t.delay()
+}
+
+// Decide answers for a sub-request that waited for its delay.
+func (t *Tracker) Decide(now time.Duration, p Progress) Decision {
+	if t.settings.BudgetRatio <= 0 {
+		return Decision{Verdict: Off}
+	}
+	t.refresh(now)
+	delay := t.delay()
+	if p.Age < delay {
+		return Decision{Verdict: Wait, Wait: delay - p.Age}
+	}
+	if !p.Repeated {
+		t.count(now, p.Age)
+	}
+	if t.SlowService() {
+		return Decision{Verdict: Slow, Wait: delay}
+	}
+	if t.tokens < 1 {
+		return Decision{Verdict: Exhausted, Wait: delay}
+	}
+	t.tokens--
+	return Decision{Verdict: Send}
+}
+
+// SlowService reports whether the median of the last second is above SlowFactor
+// x the long-term median. Unanswered sub-requests that reached their delay count
+// with their age.
+func (t *Tracker) SlowService() bool {
+	return t.total >= minSlowWeight && t.slow > slowPart*t.total
+}
+
+// Tokens returns the number of hedges that the budget pays for now.
+func (t *Tracker) Tokens() float64 { return t.tokens }
+
+// LongTermMedian returns the median latency over LongTerm, or zero before the
+// first MinSamples latencies.
+func (t *Tracker) LongTermMedian() time.Duration { return t.longTermMedian }
+
+// delay interpolates between the scarce and the normal quantile.
+func (t *Tracker) delay() time.Duration {
+	fill := 1.0
+	if t.settings.Burst > 0 {
+		fill = t.tokens / t.settings.Burst
+	}
+	return t.delays[int(math.Round(fill*quantileSteps))]
+}
+
+func (t *Tracker) clamp(d time.Duration) time.Duration {
+	return min(max(d, t.settings.MinDelay), t.settings.MaxDelay)
+}
+
+func (t *Tracker) count(now, latency time.Duration) {
+	if t.longTermMedian == 0 {
+		return
+	}
+	if now > t.countedAt {
+		d := math.Exp(-float64(now-t.countedAt) / float64(slowDecay))
+		t.slow, t.total, t.countedAt = t.slow*d, t.total*d, now
+	}
+	t.total++
+	if float64(latency) > t.settings.SlowFactor*float64(t.longTermMedian) {
+		t.slow++
+	}
+}
+
+// refresh rotates the window and computes the cached quantiles.
+func (t *Tracker) refresh(now time.Duration) {
+	elapsed := now - t.refreshedAt
+	if elapsed < refreshInterval {
+		return
+	}
+	t.refreshedAt = now
+	t.merged.Reset()
+	t.merged.Merge(t.current)
+	t.merged.Merge(t.previous)
+	if now-t.rotatedAt >= t.settings.Window/2 {
+		t.current, t.previous = t.previous, t.current
+		t.current.Reset()
+		t.rotatedAt = now
+	}
+	if t.merged.TotalCount() < t.settings.MinSamples {
+		return
+	}
+	for i := range t.delays {
+		part := float64(i) / quantileSteps
+		q := t.settings.ScarceQuantile + part*(t.settings.Quantile-t.settings.ScarceQuantile)
+		t.delays[i] = t.clamp(t.quantile(q))
+	}
+	t.learnMedian(now, elapsed)
+}
+
+// learnMedian moves the long-term median. Until LongTerm has passed it is the
+// mean over the time since the start.
+func (t *Tracker) learnMedian(now, elapsed time.Duration) {
+	median := t.quantile(slowPart)
+	if t.longTermMedian == 0 {
+		t.longTermMedian = median
+		return
+	}
+	scale := min(t.settings.LongTerm, now-t.startedAt)
+	part := min(float64(elapsed)/float64(scale), 1)
+	t.longTermMedian += time.Duration(part * float64(median-t.longTermMedian))
+}
+
+func (t *Tracker) quantile(q float64) time.Duration {
+	return time.Duration(t.merged.ValueAtQuantile(q*100)) * time.Microsecond
+}
