Add balsam-ctl

Operators need to check a sheet before they export it, see in words what a new one changes, and look at, drain and query entries. Keys come from a file or an environment variable, since arguments are visible to every user of a host. The admin messages are in protocol/adminapi, for entries and tools alike. go test -race ./internal/ctl passes against an HTTP fake; not yet run against balsam-entry.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,6 +41,7 @@
 func (o Output) JSON(v any) error {
 	enc := json.NewEncoder(o)
 	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
 	return enc.Encode(v)
 }
 
--- /dev/null
+++ b/internal/ctl/audit.go
@@ -0,0 +1,95 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/protocol/adminapi"
+)
+
+// AuditCommand is "balsam-ctl audit".
+type AuditCommand struct {
+	AdminAddresses
+	Kind  []string      `help:"Only events of these kinds, separated by commas." placeholder:"KIND"`
+	Actor string        `help:"Only events of this actor."`
+	Match string        `help:"Only events whose detail contains this text." placeholder:"TEXT"`
+	Since time.Duration `help:"Only events of this last period, such as 15m." placeholder:"DURATION"`
+	Limit int           `help:"Only the newest N events after the other filters. 0 shows all." placeholder:"N"`
+	jsonFlag
+}
+
+// Help implements kong.HelpProvider.
+func (*AuditCommand) Help() string {
+	return "Examples:\n\n  balsam-ctl audit --entry 127.0.0.1:17012 --kind sheet_accepted,sheet_refused\n\n" +
+		"  balsam-ctl audit --entry 127.0.0.1:17012,127.0.0.1:17022 --since 15m --json\n\n" +
+		"Events of several entries are merged by time. " + exitCodes
+}
+
+// auditEvent is one event and the entry that recorded it.
+type auditEvent struct {
+	Entry string `json:"entry"`
+	adminapi.Event
+}
+
+// Run runs the command.
+func (c *AuditCommand) Run(ctx context.Context, out cli.Output) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	if c.Limit < 0 || c.Since < 0 {
+		return &cli.UsageError{Message: "--limit and --since must not be negative"}
+	}
+	events := []auditEvent{}
+	var failed error
+	for _, address := range c.Entries {
+		trail, err := c.read(ctx, address)
+		failed = errors.Join(failed, err)
+		for _, e := range trail.Events {
+			events = append(events, auditEvent{Entry: address, Event: e})
+		}
+	}
+	events = c.filter(events, time.Now())
+	if c.JSON {
+		return errors.Join(failed, out.JSON(map[string][]auditEvent{"events": events}))
+	}
+	t := newTable(out)
+	fmt.Fprintln(t, "TIME\tENTRY\tSEQUENCE\tKIND\tACTOR\tDETAIL")
+	for _, e := range events {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\n", e.Time.UTC().Format(time.RFC3339), e.Entry, e.Sequence, e.Kind, e.Actor, e.Detail)
+	}
+	return errors.Join(failed, t.Flush())
+}
+
+func (c *AuditCommand) read(ctx context.Context, address string) (adminapi.Audit, error) {
+	ctx, cancel := c.deadline(ctx)
+	defer cancel()
+	var trail adminapi.Audit
+	err := get(ctx, address, adminapi.AuditPath, &trail)
+	return trail, err
+}
+
+// filter returns the events that match the flags, ordered by time. Events of
+// the same time stay in the order of the trails.
+func (c *AuditCommand) filter(events []auditEvent, now time.Time) []auditEvent {
+	events = slices.DeleteFunc(events, func(e auditEvent) bool {
+		switch {
+		case len(c.Kind) > 0 && !slices.Contains(c.Kind, e.Kind):
+		case c.Actor != "" && c.Actor != e.Actor:
+		case c.Match != "" && !strings.Contains(e.Detail, c.Match):
+		case c.Since > 0 && e.Time.Before(now.Add(-c.Since)):
+		default:
+			return false
+		}
+		return true
+	})
+	slices.SortStableFunc(events, func(a, b auditEvent) int { return a.Time.Compare(b.Time) })
+	if c.Limit > 0 && len(events) > c.Limit {
+		events = events[len(events)-c.Limit:]
+	}
+	return events
+}
--- /dev/null
+++ b/internal/ctl/cli.go
@@ -0,0 +1,64 @@
+package ctl
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/balsamstall/balsamstall/internal/cli"
+)
+
+const exitCodes = "Exit codes: 0 fine, 1 the command failed, 2 bad usage or faulty input."
+
+// Commands is the command line of balsam-ctl.
+type Commands struct {
+	Sheet  SheetCommands `cmd:"" help:"Check and compare sheets."`
+	Status StatusCommand `cmd:"" help:"Show the state of entries."`
+	Audit  AuditCommand  `cmd:"" help:"Show the audit trail of entries."`
+	Drain  DrainCommand  `cmd:"" help:"Start a planned stop of one entry."`
+	Query  QueryCommand  `cmd:"" help:"Send one search and show the answer and its coverage."`
+}
+
+// SheetCommands groups the commands on sheet files.
+type SheetCommands struct {
+	Check SheetCheckCommand `cmd:"" help:"Check a sheet, and an index against it."`
+	Diff  SheetDiffCommand  `cmd:"" help:"Say what changes for operators when sheet B replaces sheet A."`
+}
+
+// jsonFlag is part of every command.
+type jsonFlag struct {
+	JSON bool `help:"Print JSON." name:"json"`
+}
+
+// AdminAddresses names the entries that a command asks.
+type AdminAddresses struct {
+	Entries []string      `help:"Admin addresses of entries as IP:port, separated by commas." name:"entry" required:"" env:"BALSAM_ADMIN" placeholder:"IP:PORT"`
+	Timeout time.Duration `help:"Longest wait for each entry." default:"5s"`
+}
+
+func (a *AdminAddresses) check() error {
+	for _, address := range a.Entries {
+		if err := checkAddress(address); err != nil {
+			return err
+		}
+	}
+	return checkTimeout(a.Timeout)
+}
+
+func (a *AdminAddresses) deadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, a.Timeout)
+}
+
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &cli.UsageError{Message: "address " + address + " must be IP:port, such as 127.0.0.1:17012"}
+	}
+	return nil
+}
+
+func checkTimeout(d time.Duration) error {
+	if d <= 0 {
+		return &cli.UsageError{Message: "--timeout must be above 0"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,192 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/protocol/adminapi"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+const demoSheet = "../../examples/demo/sheet.json"
+
+// run runs a command line and returns its exit code and outputs.
+func run(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = cli.Run(context.Background(), &Commands{}, "balsam-ctl", "", args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// edited writes the demo sheet with replacements to a file of the test.
+func edited(t *testing.T, oldnew ...string) string {
+	t.Helper()
+	data, err := os.ReadFile(demoSheet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "sheet.json")
+	if err := os.WriteFile(path, []byte(strings.NewReplacer(oldnew...).Replace(string(data))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against exit codes that differ from the documented ones.
+func TestExitCodes(t *testing.T) {
+	for _, c := range []struct {
+		want int
+		args []string
+	}{
+		{cli.ExitOK, []string{"--help"}},
+		{cli.ExitOK, []string{"sheet", "check", demoSheet, "--index", "../../examples/demo/index.json"}},
+		{cli.ExitOK, []string{"sheet", "diff", demoSheet, demoSheet}},
+		{cli.ExitUsage, []string{"sheet", "check", edited(t, `"slots": 3`, `"slots": 0`)}},
+		{cli.ExitUsage, []string{"sheet", "check", "no-such-file"}},
+		{cli.ExitUsage, []string{"no-such-command"}},
+		{cli.ExitUsage, []string{"status"}},
+		{cli.ExitUsage, []string{"status", "--entry", "localhost:1"}},
+		{cli.ExitUsage, []string{"drain", "--entry", "127.0.0.1:1"}},
+		{cli.ExitFailed, []string{"status", "--entry", "127.0.0.1:1"}},
+	} {
+		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
+			t.Setenv(adminKeyVariable, "")
+			is := is.New(t)
+			code, _, _ := run(c.args...)
+			is.Equal(code, c.want)
+		})
+	}
+}
+
+// Guards against a diff that hides a change or says nothing about a sheet that
+// the entries will refuse.
+func TestSheetDiff(t *testing.T) {
+	is := is.New(t)
+	next := edited(t, `"revision": 1,`, `"revision": 2,`, `"priority": 2`, `"priority": 3`, `"vitrina-1-target-2"`, `"vitrina-1-target-9"`)
+	_, out, _ := run("sheet", "diff", demoSheet, next)
+	is.Equal(strings.Split(strings.TrimSpace(out), "\n"), []string{
+		`sheet: revision 1 -> 2`,
+		`target "vitrina-1-target-2": removed (it gets no new attempts)`,
+		`target "vitrina-1-target-9": added (it starts cold)`,
+		`service "quote-desk-1": priority 2 -> 3 (lower priority: shed earlier under overload)`,
+	})
+	_, out, _ = run("sheet", "diff", next, demoSheet)
+	is.True(strings.Contains(out, "entries refuse it: the revision is lower"))
+	_, out, _ = run("sheet", "diff", demoSheet, edited(t, `"priority": 2`, `"priority": 3`))
+	is.True(strings.Contains(out, "entries refuse it: the revision is the same"))
+}
+
+// fakeEntry serves the admin and caller paths of one entry.
+func fakeEntry(t *testing.T) string {
+	reply := func(code int, v any) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(code)
+			json.NewEncoder(w).Encode(v)
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adminapi.StatusPath, reply(http.StatusOK, adminapi.Status{
+		ID: "entry-1", Zone: "az-1", Ready: true, SheetRevision: 7,
+		Peers:    []adminapi.Peer{{ID: "entry-2", Alive: true}, {ID: "entry-3"}},
+		Services: []adminapi.Service{{Name: "vitrina-1", Answered: 5}, {Name: "bodega-1", Answered: 6}},
+		Targets:  []adminapi.Target{{ID: "vitrina-1-target-1", EWMAMS: 4.25}},
+	}))
+	now := time.Now()
+	mux.HandleFunc("GET "+adminapi.AuditPath, reply(http.StatusOK, adminapi.Audit{Events: []adminapi.Event{
+		{Sequence: 1, Kind: "sheet_accepted", Actor: "platform", Detail: "revision 6", Time: now.Add(-time.Hour)},
+		{Sequence: 2, Kind: "drain", Actor: "operator", Time: now},
+		{Sequence: 3, Kind: "sheet_accepted", Actor: "entry-2", Detail: "revision 7", Time: now},
+	}}))
+	mux.HandleFunc("POST "+adminapi.DrainPath, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer right-key" {
+			w.WriteHeader(http.StatusUnauthorized)
+		}
+	})
+	mux.HandleFunc("POST "+callerapi.SearchPath, func(w http.ResponseWriter, r *http.Request) {
+		var request callerapi.SearchRequest
+		json.NewDecoder(r.Body).Decode(&request)
+		if request.Service == "drawing-vault" {
+			reply(http.StatusPreconditionRequired, callerapi.ErrorResponse{Code: status.PermitRequired, Outcome: status.NotRun, Permit: "fresh"})(w, r)
+			return
+		}
+		reply(http.StatusOK, callerapi.SearchResponse{Coverage: callerapi.Coverage{
+			Searched: []int{0}, NotSearched: []callerapi.NotSearched{{Shard: 1, Reason: callerapi.ReasonDeadline}}, Ratio: 0.5}})(w, r)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against an entry that does not answer hiding the others, and against
+// totals that leave services out.
+func TestStatusShowsEveryEntry(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := run("status", "--details", "--entry", "127.0.0.1:1,"+fakeEntry(t))
+	is.Equal(code, cli.ExitFailed)
+	is.True(strings.Contains(out, "no answer"))
+	rows := strings.Split(out, "\n")
+	is.Equal(strings.Fields(rows[2])[4:11], []string{"7", "0", "1", "of", "2", "0", "0"})
+	is.Equal(strings.Fields(rows[2])[11], "11")
+	is.True(strings.Contains(out, "vitrina-1-target-1"))
+}
+
+// Guards against filters that let other events through.
+func TestAuditFilters(t *testing.T) {
+	is := is.New(t)
+	address := fakeEntry(t)
+	for args, want := range map[string]int{
+		"":                                      3,
+		"--kind sheet_accepted":                 2,
+		"--kind sheet_accepted --since 1m":      1,
+		"--actor operator":                      1,
+		"--match revision":                      2,
+		"--limit 1":                             1,
+		"--kind drain --match revision":         0,
+		"--kind drain,sheet_accepted --limit 2": 2,
+	} {
+		code, out, _ := run(append([]string{"audit", "--json", "--entry", address}, strings.Fields(args)...)...)
+		is.Equal(code, cli.ExitOK)
+		var got adminapi.Audit
+		is.NoErr(json.Unmarshal([]byte(out), &got))
+		is.Equal(len(got.Events), want) // args
+	}
+}
+
+// Guards against a drain that reports success with a key that the entry refused.
+func TestDrainNeedsTheKey(t *testing.T) {
+	is := is.New(t)
+	address := fakeEntry(t)
+	t.Setenv(adminKeyVariable, "wrong-key")
+	code, _, _ := run("drain", "--entry", address)
+	is.Equal(code, cli.ExitFailed)
+	t.Setenv(adminKeyVariable, "right-key")
+	code, _, _ = run("drain", "--entry", address)
+	is.Equal(code, cli.ExitOK)
+}
+
+// Guards against a partial answer that reads like a full one, and a refusal
+// that is reported as success.
+func TestQueryShowsCoverageAndRefusals(t *testing.T) {
+	is := is.New(t)
+	address := fakeEntry(t)
+	t.Setenv(callerKeyVariable, "key")
+	code, out, _ := run("query", "--entry", address, "--service", "vitrina-1", "mortar")
+	is.Equal(code, cli.ExitOK)
+	is.True(strings.Contains(out, "0.5000, 1 of 2 shards searched, contract missed"))
+	is.True(strings.Contains(out, "shard 1: deadline"))
+	code, out, errs := run("query", "--entry", address, "--service", "drawing-vault", "1187-B")
+	is.Equal(code, cli.ExitFailed)
+	is.True(strings.Contains(out, "permit: fresh"))
+	is.True(strings.Contains(errs, "permit_required"))
+}
--- /dev/null
+++ b/internal/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl implements the operators' commands.
+package ctl
