Add balsam-load run and bench

The promises and the policies need a load that does not slow down with the system under test, that judges every answer, and that is the same for both policy modes.

--- a/internal/load/fake_test.go
+++ b/internal/load/fake_test.go
@@ -91,12 +91,20 @@
 }
 
 func fakeResponse(id, entry, workspace string, request *callerapi.SearchRequest) callerapi.SearchResponse {
-	return callerapi.SearchResponse{
+	r := callerapi.SearchResponse{
 		RequestID: id, Outcome: status.Done, Service: request.Service, Entry: entry, SheetRevision: 1,
 		Snapshot: ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1},
-		Results:  []callerapi.Hit{{Shard: 0, ID: "d0"}, {Shard: 1, ID: "d1"}},
 		Coverage: callerapi.Coverage{Searched: []int{0, 1}, Ratio: 1, ContractMet: true},
 	}
+	if request.Permit != "" {
+		r.Coverage = callerapi.Coverage{Searched: []int{0}, NotSearched: []callerapi.NotSearched{{Shard: 1, Reason: callerapi.ReasonNotNeeded}}, Ratio: 1, ContractMet: true}
+	}
+	for _, shard := range r.Coverage.Searched {
+		for n, owner := range []string{"", "", workspace} {
+			r.Results = append(r.Results, callerapi.Hit{Shard: shard, ID: hitID(&r, shard, owner, n, request.Query)})
+		}
+	}
+	return r
 }
 
 func (f *fakeFleet) answer(w http.ResponseWriter, response callerapi.SearchResponse) {
--- /dev/null
+++ b/internal/load/scenario.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// Scenario names a situation of the bench.
+type Scenario string
+
+// Scenarios.
+const (
+	// ScenarioSteady has no fault.
+	ScenarioSteady Scenario = "steady"
+	// ScenarioSlowdown makes a tenth of the targets ten times slower for
+	// moments of 0.5 to 3 s. Load reports show it late.
+	ScenarioSlowdown Scenario = "slowdown"
+	// ScenarioCrest raises demand to three times the capacity within a second.
+	ScenarioCrest Scenario = "crest"
+	// ScenarioReplicaLoss crashes a tenth of the targets, which come back cold.
+	ScenarioReplicaLoss Scenario = "replica-loss"
+	// ScenarioSilent makes half of all open connections silent at once.
+	ScenarioSilent Scenario = "silent-connections"
+	// ScenarioDrain makes a fifth of the targets leave.
+	ScenarioDrain Scenario = "drain"
+	// ScenarioZoneCut makes every target of one zone stop replying for a while.
+	ScenarioZoneCut Scenario = "zone-cut"
+)
+
+// Scenarios lists all scenarios in the order of the bench.
+var Scenarios = []Scenario{
+	ScenarioSteady, ScenarioSlowdown, ScenarioCrest, ScenarioReplicaLoss,
+	ScenarioSilent, ScenarioDrain, ScenarioZoneCut,
+}
+
+// Demand and faults of the scenarios.
+const (
+	// baseDemand is the demand outside a crest as a part of the capacity.
+	baseDemand = 0.4
+	// crestDemand is the demand at the crest as a multiple of the capacity.
+	crestDemand = 3
+	// crestTail is the time after a crest in which service must recover.
+	crestTail = 2 * time.Second
+
+	slowShare   = 0.1
+	slowFactor  = 10
+	slowLeast   = 500 * time.Millisecond
+	slowMost    = 3 * time.Second
+	lossShare   = 0.1
+	silentShare = 0.5
+	drainShare  = 0.2
+	// cutDelay is longer than any deadline, so a cut target never replies in time.
+	cutDelay = 60 * time.Second
+)
+
+// Moments of the faults as parts of the run.
+const (
+	faultStart = 0.25
+	faultEnd   = 0.75
+)
+
+// fault is a command that is sent at a time since the start of a run.
+type fault struct {
+	at      time.Duration
+	control string
+	command Command
+}
+
+// profile returns the demand of a scenario.
+func (s *Settings) profile(scenario Scenario, duration, hold time.Duration) Profile {
+	p := Profile{Shape: ShapeSteady, Base: baseDemand * s.CapacityPerSecond, Duration: duration}
+	if scenario == ScenarioCrest {
+		p.Shape, p.Peak, p.Hold = ShapeCrest, crestDemand*s.CapacityPerSecond, hold
+		p.Duration = crestLead + 2*crestRamp + hold + crestTail
+	}
+	return p
+}
+
+// faults returns the commands of a scenario, ordered by time. The same
+// settings, duration and seed give the same commands.
+func (s *Settings) faults(scenario Scenario, duration time.Duration, seed uint64) []fault {
+	rng := rand.New(rand.NewPCG(seed, uint64(len(scenario))))
+	part := func(f float64) time.Duration { return time.Duration(f * float64(duration)) }
+	start, length := part(faultStart), part(faultEnd-faultStart)
+	var out []fault
+	add := func(at time.Duration, targets []Target, command Command) {
+		for _, t := range targets {
+			command.Target = t.ID
+			out = append(out, fault{at: at, control: t.Control, command: command})
+		}
+	}
+	switch scenario {
+	case ScenarioSlowdown:
+		// The moments follow each other without a gap; each hits other targets.
+		for at := part(0.1); at < part(0.9); {
+			moment := slowLeast + time.Duration(rng.Int64N(int64(slowMost-slowLeast)))
+			add(at, s.pick(rng, slowShare), Command{Fault: controlSlow, Factor: slowFactor, DurationMS: moment.Milliseconds()})
+			at += moment
+		}
+	case ScenarioReplicaLoss:
+		add(start, s.pick(rng, lossShare), Command{Fault: controlCrash, RestartMS: length.Milliseconds()})
+	case ScenarioSilent:
+		add(start, s.Targets, Command{Fault: controlSilent, Fraction: silentShare})
+	case ScenarioDrain:
+		add(start, s.pick(rng, drainShare), Command{Fault: controlDrain, DurationMS: length.Milliseconds()})
+	case ScenarioZoneCut:
+		zone := s.Targets[rng.IntN(len(s.Targets))].Zone
+		cut := slices.DeleteFunc(slices.Clone(s.Targets), func(t Target) bool { return t.Zone != zone })
+		add(start, cut, Command{Fault: controlDelay, DelayMS: cutDelay.Milliseconds(), DurationMS: length.Milliseconds()})
+	}
+	return out
+}
+
+// pick draws a share of the targets, at least one.
+func (s *Settings) pick(rng *rand.Rand, share float64) []Target {
+	n := max(1, int(share*float64(len(s.Targets))+0.5))
+	var out []Target
+	for _, i := range rng.Perm(len(s.Targets))[:min(n, len(s.Targets))] {
+		out = append(out, s.Targets[i])
+	}
+	return out
+}
+
+// inject sends the faults at their times after start. It returns the first
+// error, or nil when ctx ends earlier.
+func (c *controlClient) inject(ctx context.Context, start time.Time, faults []fault) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for _, f := range faults {
+		timer.Reset(time.Until(start.Add(f.at)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		if err := c.command(ctx, f.control, f.command); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// clear removes every fault from the targets.
+func (c *controlClient) clear(ctx context.Context, addresses []string) error {
+	for _, address := range addresses {
+		if err := c.command(ctx, address, Command{Target: allTargets, Fault: controlClear}); err != nil {
+			return status.Wrap(err, status.Unavailable, "", "clear the faults")
+		}
+	}
+	return nil
+}
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -2,17 +2,25 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 
 	"github.com/balsamstall/balsamstall/internal/settings"
 )
 
-// Settings names the entries and callers of a load run. The keys are those of
-// test callers; a settings file with real keys must not be readable by others.
+// Settings names the entries, callers and workload of a run. The keys are those
+// of test callers; a file with real keys must not be readable by others.
 type Settings struct {
 	Entries []Entry  `json:"entries"`
 	Callers []Caller `json:"callers"`
-	// Targets lists the stand-in targets, for outcome checks and faults. It may be empty.
+	// Targets lists the stand-in targets, for outcome checks and faults. It
+	// may be empty.
 	Targets []Target `json:"targets,omitempty"`
+	// Workload lists the services that a run queries. The demo does not need it.
+	Workload []Workload `json:"workload,omitempty"`
+	// CapacityPerSecond is the number of requests per second that the targets
+	// can serve, for the scenarios of the bench.
+	CapacityPerSecond float64 `json:"capacity_per_second,omitempty"`
 }
 
 // Entry is an entry that serves callers.
@@ -20,7 +28,6 @@
 	ID string `json:"id"`
 	// Address is the caller address as IP:port.
 	Address string `json:"address"`
-	Zone    string `json:"zone,omitempty"`
 }
 
 // Caller is a client of the entries.
@@ -33,11 +40,38 @@
 
 // Target is a stand-in target that accepts control commands.
 type Target struct {
-	ID      string `json:"id"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// Control is the control address of the target's process as IP:port.
+	Control string `json:"control"`
+}
+
+// Workload is the traffic of one service.
+type Workload struct {
+	Service string `json:"service"`
+	// Callers names the callers that query the service, in equal parts.
+	Callers []string `json:"callers"`
+	// Weight is the service's part of the traffic relative to the others.
+	Weight float64 `json:"weight"`
+	// DeadlineMS is the deadline of each request in milliseconds.
+	DeadlineMS int64 `json:"deadline_ms"`
+	// ContractMS is the contracted latency in milliseconds. Answers within it
+	// that meet the coverage rule count as goodput.
+	ContractMS int64 `json:"contract_ms"`
+	// MinRatio is the coverage rule of the contract, from 0 to 1.
+	MinRatio float64 `json:"min_ratio"`
+	// AtMostOnce marks a service that needs permits.
+	AtMostOnce bool `json:"at_most_once,omitempty"`
 }
 
+// Bounds of the settings.
+const (
+	maxEntries    = 1_000
+	maxCallers    = 10_000
+	maxDeadlineMS = 600_000
+	maxCapacity   = 1_000_000
+)
+
 // LoadSettings reads a settings file. Every error is a *settings.Error.
 func LoadSettings(path string) (*Settings, error) {
 	var s Settings
@@ -63,13 +97,41 @@
 	}
 	for i, t := range s.Targets {
 		c.Name(fmt.Sprintf("targets[%d].id", i), t.ID)
-		c.Address(fmt.Sprintf("targets[%d].address", i), t.Address)
+		c.Name(fmt.Sprintf("targets[%d].zone", i), t.Zone)
+		c.Address(fmt.Sprintf("targets[%d].control", i), t.Control)
 	}
+	for i, w := range s.Workload {
+		s.checkWorkload(&c, fmt.Sprintf("workload[%d].", i), w)
+	}
+	c.Range("capacity_per_second", int64(s.CapacityPerSecond), 0, maxCapacity)
 	return c.Problems
 }
 
-// Bounds of the settings.
-const (
-	maxEntries = 1_000
-	maxCallers = 10_000
-)
+func (s *Settings) checkWorkload(c *settings.Checks, path string, w Workload) {
+	c.Name(path+"service", w.Service)
+	c.Range(path+"callers", int64(len(w.Callers)), 1, maxCallers)
+	for i, name := range w.Callers {
+		if !slices.ContainsFunc(s.Callers, func(caller Caller) bool { return caller.Name == name }) {
+			c.Add(fmt.Sprintf("%scallers[%d]", path, i), strconv.Quote(name), "the name of a caller of this file")
+		}
+	}
+	if !(w.Weight > 0) {
+		c.Add(path+"weight", strconv.FormatFloat(w.Weight, 'g', -1, 64), "a number above 0")
+	}
+	c.Range(path+"deadline_ms", w.DeadlineMS, 1, maxDeadlineMS)
+	c.Range(path+"contract_ms", w.ContractMS, 1, maxDeadlineMS)
+	if !(w.MinRatio >= 0 && w.MinRatio <= 1) {
+		c.Add(path+"min_ratio", strconv.FormatFloat(w.MinRatio, 'g', -1, 64), "a number from 0 to 1")
+	}
+}
+
+// controls returns the distinct control addresses.
+func (s *Settings) controls() []string {
+	var out []string
+	for _, t := range s.Targets {
+		if !slices.Contains(out, t.Control) {
+			out = append(out, t.Control)
+		}
+	}
+	return out
+}
