--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -38,7 +38,8 @@
 
 // Run runs the command.
 func (c *AuditCommand) Run(ctx context.Context, out cli.Output) error {
-	if err := c.check(); err != nil {
+	key, err := c.key()
+	if err != nil {
 		return err
 	}
 	if c.Limit < 0 || c.Since < 0 {
@@ -47,8 +48,8 @@
 	events := []auditEvent{}
 	var failed error
 	for _, address := range c.Entries {
-		trail, err := c.read(ctx, address)
-		failed = errors.Join(failed, err)
+		var trail adminapi.Audit
+		failed = errors.Join(failed, c.get(ctx, address, adminapi.AuditPath, key, &trail))
 		for _, e := range trail.Events {
 			events = append(events, auditEvent{Entry: address, Event: e})
 		}
@@ -65,14 +66,6 @@
 	return errors.Join(failed, t.Flush())
 }
 
-func (c *AuditCommand) read(ctx context.Context, address string) (adminapi.Audit, error) {
-	ctx, cancel := c.deadline(ctx)
-	defer cancel()
-	var trail adminapi.Audit
-	err := get(ctx, address, adminapi.AuditPath, &trail)
-	return trail, err
-}
-
 // filter returns the events that match the flags, ordered by time. Events of
 // the same time stay in the order of the trails.
 func (c *AuditCommand) filter(events []auditEvent, now time.Time) []auditEvent {
--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 const exitCodes = "Exit codes: 0 fine, 1 the command failed, 2 bad usage or faulty input."
@@ -33,20 +36,35 @@
 // AdminAddresses names the entries that a command asks.
 type AdminAddresses struct {
 	Entries []string      `help:"Admin addresses of entries as IP:port, separated by commas." name:"entry" required:"" env:"BALSAM_ADMIN" placeholder:"IP:PORT"`
+	KeyFile string        `help:"File that holds the admin key. The default is the variable BALSAM_ADMIN_KEY." placeholder:"FILE"`
 	Timeout time.Duration `help:"Longest wait for each entry." default:"5s"`
 }
 
-func (a *AdminAddresses) check() error {
+// key checks the flags and returns the admin key.
+func (a *AdminAddresses) key() (string, error) {
 	for _, address := range a.Entries {
 		if err := checkAddress(address); err != nil {
-			return err
+			return "", err
 		}
 	}
-	return checkTimeout(a.Timeout)
+	if err := checkTimeout(a.Timeout); err != nil {
+		return "", err
+	}
+	return readKey(a.KeyFile, adminKeyVariable)
 }
 
-func (a *AdminAddresses) deadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, a.Timeout)
+// get reads the JSON answer of one entry into dst.
+func (a *AdminAddresses) get(ctx context.Context, address, path, key string, dst any) error {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	data, err := call(ctx, http.MethodGet, address, path, key)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, dst); err != nil {
+		return status.Wrap(err, status.ReplyMismatch, "", "answer of %s%s is not readable", address, path)
+	}
+	return nil
 }
 
 func checkAddress(address string) error {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 
@@ -53,15 +52,3 @@
 		return status.Unavailable
 	}
 }
-
-// get reads a JSON answer into dst.
-func get(ctx context.Context, address, path string, dst any) error {
-	data, err := call(ctx, http.MethodGet, address, path, "")
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(data, dst); err != nil {
-		return status.Wrap(err, status.ReplyMismatch, "", "answer of %s%s is not readable", address, path)
-	}
-	return nil
-}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -58,7 +58,8 @@
 		{cli.ExitUsage, []string{"status"}},
 		{cli.ExitUsage, []string{"status", "--entry", "localhost:1"}},
 		{cli.ExitUsage, []string{"drain", "--entry", "127.0.0.1:1"}},
-		{cli.ExitFailed, []string{"status", "--entry", "127.0.0.1:1"}},
+		{cli.ExitUsage, []string{"audit", "--entry", "127.0.0.1:1"}},
+		{cli.ExitFailed, []string{"status", "--entry", "127.0.0.1:1", "--key-file", demoSheet}},
 	} {
 		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
 			t.Setenv(adminKeyVariable, "")
@@ -96,23 +97,28 @@
 		}
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+adminapi.StatusPath, reply(http.StatusOK, adminapi.Status{
+	protected := func(h http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Authorization") != "Bearer right-key" {
+				w.WriteHeader(http.StatusUnauthorized)
+				return
+			}
+			h(w, r)
+		}
+	}
+	mux.HandleFunc("GET "+adminapi.StatusPath, protected(reply(http.StatusOK, adminapi.Status{
 		ID: "entry-1", Zone: "az-1", Ready: true, SheetRevision: 7,
 		Peers:    []adminapi.Peer{{ID: "entry-2", Alive: true}, {ID: "entry-3"}},
 		Services: []adminapi.Service{{Name: "vitrina-1", Answered: 5}, {Name: "bodega-1", Answered: 6}},
 		Targets:  []adminapi.Target{{ID: "vitrina-1-target-1", EWMAMS: 4.25}},
-	}))
+	})))
 	now := time.Now()
-	mux.HandleFunc("GET "+adminapi.AuditPath, reply(http.StatusOK, adminapi.Audit{Events: []adminapi.Event{
+	mux.HandleFunc("GET "+adminapi.AuditPath, protected(reply(http.StatusOK, adminapi.Audit{Events: []adminapi.Event{
 		{Sequence: 1, Kind: "sheet_accepted", Actor: "platform", Detail: "revision 6", Time: now.Add(-time.Hour)},
 		{Sequence: 2, Kind: "drain", Actor: "operator", Time: now},
 		{Sequence: 3, Kind: "sheet_accepted", Actor: "entry-2", Detail: "revision 7", Time: now},
-	}}))
-	mux.HandleFunc("POST "+adminapi.DrainPath, func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Authorization") != "Bearer right-key" {
-			w.WriteHeader(http.StatusUnauthorized)
-		}
-	})
+	}})))
+	mux.HandleFunc("POST "+adminapi.DrainPath, protected(reply(http.StatusAccepted, nil)))
 	mux.HandleFunc("POST "+callerapi.SearchPath, func(w http.ResponseWriter, r *http.Request) {
 		var request callerapi.SearchRequest
 		json.NewDecoder(r.Body).Decode(&request)
@@ -132,6 +138,7 @@
 // totals that leave services out.
 func TestStatusShowsEveryEntry(t *testing.T) {
 	is := is.New(t)
+	t.Setenv(adminKeyVariable, "right-key")
 	code, out, _ := run("status", "--details", "--entry", "127.0.0.1:1,"+fakeEntry(t))
 	is.Equal(code, cli.ExitFailed)
 	is.True(strings.Contains(out, "no answer"))
@@ -144,6 +151,7 @@
 // Guards against filters that let other events through.
 func TestAuditFilters(t *testing.T) {
 	is := is.New(t)
+	t.Setenv(adminKeyVariable, "right-key")
 	address := fakeEntry(t)
 	for args, want := range map[string]int{
 		"":                                      3,
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -20,8 +20,8 @@
 
 // Help implements kong.HelpProvider.
 func (*StatusCommand) Help() string {
-	return "Examples:\n\n  balsam-ctl status --entry 127.0.0.1:17012,127.0.0.1:17022\n\n" +
-		"  balsam-ctl status --entry 127.0.0.1:17012 --details\n\n" +
+	return "Examples:\n\n  balsam-ctl status --key-file admin.key --entry 127.0.0.1:17012,127.0.0.1:17022\n\n" +
+		"  BALSAM_ADMIN_KEY=... balsam-ctl status --entry 127.0.0.1:17012 --details\n\n" +
 		"The command fails when an entry does not answer; the others are still shown. " + exitCodes
 }
 
@@ -34,7 +34,8 @@
 
 // Run runs the command.
 func (c *StatusCommand) Run(ctx context.Context, out cli.Output) error {
-	if err := c.check(); err != nil {
+	key, err := c.key()
+	if err != nil {
 		return err
 	}
 	var (
@@ -43,7 +44,7 @@
 	)
 	for _, address := range c.Entries {
 		row := entryStatus{Address: address, Status: new(adminapi.Status)}
-		if err := c.read(ctx, address, row.Status); err != nil {
+		if err := c.get(ctx, address, adminapi.StatusPath, key, row.Status); err != nil {
 			row.Status, row.Error = nil, err.Error()
 			failed = errors.Join(failed, err)
 		}
@@ -55,12 +56,6 @@
 	return errors.Join(failed, c.table(out, rows))
 }
 
-func (c *StatusCommand) read(ctx context.Context, address string, dst *adminapi.Status) error {
-	ctx, cancel := c.deadline(ctx)
-	defer cancel()
-	return get(ctx, address, adminapi.StatusPath, dst)
-}
-
 func (c *StatusCommand) table(out io.Writer, rows []entryStatus) error {
 	t := newTable(out)
 	fmt.Fprintln(t, "ENTRY\tADDRESS\tZONE\tSTATE\tSHEET\tINDEX\tPOLICY\tPEERS\tIN FLIGHT\tQUEUED\tANSWERED\tREFUSED\tINCARNATION")
--- a/protocol/adminapi/adminapi.go
+++ b/protocol/adminapi/adminapi.go
@@ -3,7 +3,8 @@
 
 import "time"
 
-// Paths of the admin HTTP interface.
+// Paths of the admin HTTP interface. All but HealthPath and ReadyPath need the
+// bearer admin key.
 const (
 	// HealthPath answers 200 while the process runs (GET).
 	HealthPath = "/healthz"
@@ -13,7 +14,7 @@
 	StatusPath = "/status"
 	// AuditPath answers with an Audit (GET).
 	AuditPath = "/audit"
-	// DrainPath starts a planned stop (POST with the bearer admin key).
+	// DrainPath starts a planned stop (POST).
 	DrainPath = "/drain"
 )
 
