--- a/internal/load/demo_test.go
+++ b/internal/load/demo_test.go
@@ -11,12 +11,14 @@
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 )
 
-// Guards against demo settings that the load tool refuses.
-func TestDemoSettingsAreValid(t *testing.T) {
+// Guards against example settings that the load tool refuses.
+func TestExampleSettingsAreValid(t *testing.T) {
 	is := is.New(t)
 	s, err := LoadSettings("../../examples/demo/load.json")
 	is.NoErr(err)
 	is.Equal(len(s.Entries), demoEntries)
+	_, err = loadFleet("../../examples/bench/load.json")
+	is.NoErr(err)
 }
 
 // Guards against a demo that fails on correct answers.
