Choose replicas and send hedges by the policy packages

Cause: the engine picked replicas at random and never hedged. Change: the policy of mode on keeps replica statistics per target and a hedge tracker per service; mode off stays the plain baseline. Measured: the engine's tests pass in mode on; no load figures yet.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -91,12 +91,16 @@
 
 // New returns an engine that refuses requests until SetDocuments was called.
 func New(cfg Config) *Engine {
+	var p policy = &baseline{}
+	if cfg.PolicyOn {
+		p = newLoaded(cfg.Self)
+	}
 	return &Engine{
 		self:      cfg.Self,
 		log:       cfg.Log,
 		targets:   cfg.Targets,
 		peers:     cfg.Peers,
-		policy:    newBaseline(),
+		policy:    p,
 		signer:    permit.NewSigner(cfg.PermitKey),
 		journal:   journal.New(journalShards),
 		inherited: journal.NewInherited(),
@@ -107,7 +111,9 @@
 
 // SetDocuments puts an accepted sheet and index in force for new requests.
 func (e *Engine) SetDocuments(s *sheet.Sheet, d *index.Document) {
-	e.plan.Store(newPlan(s, d))
+	p := newPlan(s, d)
+	e.policy.setPlan(p)
+	e.plan.Store(p)
 	e.targets.Configure(s.Targets, func(t sheet.Target) int { return t.MaxConnections })
 }
 
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -116,6 +116,7 @@
 		Targets:   f.targets,
 		Peers:     &fakeLink{fleet: f, from: entryName(i)},
 		PermitKey: []byte("permit-key-of-the-test-0123456789"),
+		PolicyOn:  true,
 		Metrics:   NewMetrics(),
 	})
 	e.SetDocuments(f.sheet, f.index)
--- /dev/null
+++ b/internal/entry/loaded.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/hedge"
+	"github.com/balsamstall/balsamstall/coordination/replica"
+	"github.com/balsamstall/balsamstall/state/targets"
+)
+
+const (
+	// maxReplicas bounds the replicas of a shard that pick considers.
+	maxReplicas = 16
+	// silentFactor and silentFloor set the time after which a connection may
+	// count as silent: well past the hedge delay, so that a slow target is
+	// hedged and not cut off.
+	silentFactor = 4
+	silentFloor  = 40 * time.Millisecond
+	// latencyMargin is the factor from the hedge delay of a sub-request to the
+	// expected latency of a whole query.
+	latencyMargin = 2
+)
+
+// loaded is the policy with all load policies.
+type loaded struct {
+	self     Identity
+	settings *replica.Settings
+	targets  targets.Table[targetState]
+	services atomic.Pointer[map[string]*serviceState]
+}
+
+type targetCell = targets.Cell[targetState]
+
+// targetState is what this entry knows of one target.
+type targetState struct {
+	stats *replica.Stats
+	local bool
+}
+
+// serviceState is what this entry knows of one service.
+type serviceState struct {
+	mu sync.Mutex
+	// hedges is guarded by mu.
+	hedges *hedge.Tracker
+}
+
+func newLoaded(self Identity) *loaded {
+	return &loaded{self: self, settings: replica.DefaultSettings()}
+}
+
+func (l *loaded) now() time.Duration { return l.self.clock() }
+
+func (l *loaded) setPlan(p *plan) {
+	now := l.now()
+	ids := make([]string, 0, len(p.targets))
+	for id := range p.targets {
+		ids = append(ids, id)
+	}
+	l.targets.SetTargets(ids, func(id string) targetState {
+		return targetState{stats: replica.NewStats(l.settings, now), local: p.targets[id].Zone == l.self.Zone}
+	})
+	old := l.services.Load()
+	next := make(map[string]*serviceState, len(p.services))
+	for name, svc := range p.services {
+		var state *serviceState
+		if old != nil {
+			state = (*old)[name]
+		}
+		if state == nil {
+			state = &serviceState{hedges: hedge.New(hedge.DefaultSettings(), now)}
+		}
+		state.mu.Lock()
+		state.hedges.SetBudgetRatio(svc.Hedge.BudgetRatio)
+		state.mu.Unlock()
+		next[name] = state
+	}
+	l.services.Store(&next)
+}
+
+func (l *loaded) service(name string) *serviceState {
+	if m := l.services.Load(); m != nil {
+		return (*m)[name]
+	}
+	return nil
+}
+
+func (l *loaded) admit(context.Context, *request) (func(error), error) {
+	return func(error) {}, nil
+}
+
+func (l *loaded) usable(string) bool { return true }
+
+// globalRand is the random source of math/rand/v2, which needs no lock.
+type globalRand struct{}
+
+func (globalRand) IntN(n int) int   { return rand.IntN(n) }
+func (globalRand) Float64() float64 { return rand.Float64() }
+
+func (l *loaded) pick(ids, exclude []string) (string, bool) {
+	now := l.now()
+	var buffer [maxReplicas]replica.Candidate
+	var cells [maxReplicas]*targetCell
+	candidates := buffer[:0]
+	for i, id := range ids[:min(len(ids), maxReplicas)] {
+		cell := l.targets.Get(id)
+		candidate := replica.Candidate{Target: i, Excluded: cell == nil || slices.Contains(exclude, id)}
+		if cell != nil {
+			cells[i] = cell
+			candidate.Local = cell.Lock().local
+			cell.Unlock()
+		}
+		candidates = append(candidates, candidate)
+	}
+	i, ok := replica.Pick(globalRand{}, candidates, func(target int) replica.Score {
+		cell := cells[target]
+		defer cell.Unlock()
+		return cell.Lock().stats.Score(now)
+	})
+	if !ok {
+		return "", false
+	}
+	return ids[i], true
+}
+
+func (l *loaded) start(service, target string) attemptToken {
+	t := attemptToken{target: l.targets.Get(target), service: l.service(service)}
+	if t.target != nil {
+		t.token = t.target.Lock().stats.Start(l.now())
+		t.target.Unlock()
+	}
+	return t
+}
+
+func (l *loaded) finish(t attemptToken, class replica.Class) {
+	if t.target == nil {
+		return
+	}
+	now := l.now()
+	latency, ok := t.target.Lock().stats.Finish(t.token, now, class)
+	t.target.Unlock()
+	if ok && class == replica.Success && t.service != nil {
+		t.service.mu.Lock()
+		t.service.hedges.Observe(now, latency)
+		t.service.mu.Unlock()
+	}
+}
+
+func (l *loaded) planned(req *request, primaries int) {
+	if s := l.service(req.service.Name); s != nil {
+		s.mu.Lock()
+		s.hedges.Primary(primaries)
+		s.mu.Unlock()
+	}
+}
+
+func (l *loaded) hedgeDelay(service string) (time.Duration, bool) {
+	s := l.service(service)
+	if s == nil {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hedges.Delay(l.now()), true
+}
+
+func (l *loaded) hedge(service string, p hedge.Progress) hedge.Decision {
+	s := l.service(service)
+	if s == nil {
+		return hedge.Decision{Verdict: hedge.Off}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hedges.Decide(l.now(), p)
+}
+
+func (l *loaded) allowRetry(string) bool { return true }
+
+func (l *loaded) silentAfter(service string) time.Duration {
+	delay, _ := l.hedgeDelay(service)
+	return max(silentFactor*delay, silentFloor)
+}
+
+func (l *loaded) expectedLatency(service string) time.Duration {
+	delay, _ := l.hedgeDelay(service)
+	return latencyMargin * delay
+}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -160,18 +160,15 @@
 }
 
 func (e *Engine) attemptOnce(ctx context.Context, req *request, target string, identity targetapi.Identity) (*targetapi.SearchReply, error) {
-	finish := e.policy.start(req.service.Name, target)
+	token := e.policy.start(req.service.Name, target)
 	reply, err := e.targets.Search(ctx, target, &targetapi.SearchRequest{
 		Identity:       identity,
 		Query:          req.search.Query,
 		DeadlineUnixMS: req.deadline.UnixMilli(),
 		AtMostOnce:     true,
 	}, targethttp.Options{FreshConnection: true})
-	finish(classOf(err))
+	e.policy.finish(token, classOf(err))
 	e.metrics.attempt(err)
-	if status.CodeOf(err) == status.Draining {
-		e.policy.leaving(target)
-	}
 	return reply, err
 }
 
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -3,41 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
-	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/coordination/hedge"
+	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
-// attemptClass says how an attempt ended, for the statistics of its target.
-type attemptClass int
-
-const (
-	attemptDone attemptClass = iota
-	// attemptRefused means that the target refused explicitly.
-	attemptRefused
-	// attemptFailed means that the connection or the reply was faulty.
-	attemptFailed
-	// attemptCanceled means that this entry gave up the attempt.
-	attemptCanceled
-	// attemptSilent means that the connection, not the target, was at fault.
-	attemptSilent
-)
-
-func classOf(err error) attemptClass {
-	switch status.CodeOf(err) {
-	case "":
-		return attemptDone
-	case status.Canceled, status.DeadlineExceeded:
-		return attemptCanceled
-	case status.ConnectionSilent:
-		return attemptSilent
-	case status.ConnectionFailed, status.ReplyMismatch, status.TooLarge:
-		return attemptFailed
-	}
-	return attemptRefused
-}
-
 // policy makes the decisions under load. Implementations are safe for
 // concurrent use.
 type policy interface {
@@ -48,64 +21,88 @@
 	usable(target string) bool
 	// pick chooses a target that may get an attempt, other than those excluded.
 	pick(targets, exclude []string) (string, bool)
-	// start records an attempt. The returned function must be called at its end.
-	start(service, target string) (finish func(class attemptClass))
-	// hedgeDelay returns the time after which an unanswered sub-request of the
-	// service is hedged, and false when hedging is off.
-	hedgeDelay(req *request, outstanding, total int) (time.Duration, bool)
-	// allowHedge and allowRetry take one from the budgets of the service.
-	allowHedge(req *request) bool
-	allowRetry(req *request) bool
+	// start records an attempt; finish must follow with the returned token.
+	start(service, target string) attemptToken
+	finish(token attemptToken, class replica.Class)
+	// planned records the primary attempts of one query.
+	planned(req *request, primaries int)
+	// hedgeDelay returns the time after which an unanswered sub-request asks
+	// for a hedge, and false when hedging is off.
+	hedgeDelay(service string) (time.Duration, bool)
+	// hedge answers for a sub-request that waited for its delay.
+	hedge(service string, p hedge.Progress) hedge.Decision
+	// allowRetry takes one from the retry budget of the service.
+	allowRetry(service string) bool
 	// silentAfter returns the time after which a connection may count as silent.
 	silentAfter(service string) time.Duration
-	// leaving records that a target refused because it is draining.
-	leaving(target string)
 	// expectedLatency estimates the latency of a query of the service.
 	expectedLatency(service string) time.Duration
-	// setIndex tells the policy which targets exist.
-	setIndex(p *plan, d *index.Document)
+	// setPlan tells the policy which services and targets exist.
+	setPlan(p *plan)
+}
+
+// attemptToken identifies one attempt in the statistics.
+type attemptToken struct {
+	target  *targetCell
+	service *serviceState
+	token   replica.Token
+}
+
+// classOf says how an attempt ended, for the statistics of its target.
+func classOf(err error) replica.Class {
+	switch status.CodeOf(err) {
+	case "":
+		return replica.Success
+	case status.Canceled, status.DeadlineExceeded, status.ConnectionSilent:
+		// A silent connection is the connection's fault, not the target's.
+		return replica.Canceled
+	case status.ConnectionFailed, status.ReplyMismatch, status.TooLarge:
+		return replica.Failure
+	}
+	return replica.Shed
 }
 
 // baseline is the policy without any of the load policies: random replicas, no
-// hedging, no admission control, one retry per sub-request.
+// hedging, no admission control, free retries.
 type baseline struct{}
 
-func newBaseline() baseline { return baseline{} }
-
-func (baseline) admit(context.Context, *request) (func(error), error) {
+func (*baseline) admit(context.Context, *request) (func(error), error) {
 	return func(error) {}, nil
 }
 
-func (baseline) usable(string) bool { return true }
+func (*baseline) usable(string) bool { return true }
 
-func (baseline) pick(targets, exclude []string) (string, bool) {
-	candidates := make([]string, 0, len(targets))
+func (*baseline) pick(targets, exclude []string) (string, bool) {
+	left := len(targets)
 	for _, t := range targets {
-		if !contains(exclude, t) {
-			candidates = append(candidates, t)
+		if slices.Contains(exclude, t) {
+			left--
 		}
 	}
-	if len(candidates) == 0 {
+	if left <= 0 {
 		return "", false
 	}
-	return candidates[rand.IntN(len(candidates))], true
-}
-
-func (baseline) start(string, string) func(attemptClass) { return func(attemptClass) {} }
-
-func (baseline) hedgeDelay(*request, int, int) (time.Duration, bool) { return 0, false }
-func (baseline) allowHedge(*request) bool                            { return false }
-func (baseline) allowRetry(*request) bool                            { return true }
-func (baseline) silentAfter(string) time.Duration                    { return 0 }
-func (baseline) leaving(string)                                      {}
-func (baseline) expectedLatency(string) time.Duration                { return 0 }
-func (baseline) setIndex(*plan, *index.Document)                     {}
-
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
+	n := rand.IntN(left)
+	for _, t := range targets {
+		if slices.Contains(exclude, t) {
+			continue
 		}
+		if n == 0 {
+			return t, true
+		}
+		n--
 	}
-	return false
+	return "", false
+}
+
+func (*baseline) start(string, string) attemptToken       { return attemptToken{} }
+func (*baseline) finish(attemptToken, replica.Class)      {}
+func (*baseline) planned(*request, int)                   {}
+func (*baseline) hedgeDelay(string) (time.Duration, bool) { return 0, false }
+func (*baseline) hedge(string, hedge.Progress) hedge.Decision {
+	return hedge.Decision{Verdict: hedge.Off}
 }
+func (*baseline) allowRetry(string) bool               { return true }
+func (*baseline) silentAfter(string) time.Duration     { return 0 }
+func (*baseline) expectedLatency(string) time.Duration { return 0 }
+func (*baseline) setPlan(*plan)                        {}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/coverage"
+	"github.com/balsamstall/balsamstall/coordination/hedge"
 	"github.com/balsamstall/balsamstall/coordination/snapshot"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -45,6 +46,7 @@
 	engine  *Engine
 	req     *request
 	results chan attemptResult
+	timer   *time.Timer
 
 	snapshot *index.Snapshot
 	merger   *coverage.Merger
@@ -67,9 +69,11 @@
 	tried       []string
 	outstanding int
 	resolved    bool
-	hedged      bool
-	cancel      context.CancelFunc
-	ctx         context.Context
+	// hedgeAt is the time of the next hedge decision, zero for none.
+	hedgeAt  time.Time
+	repeated bool // An earlier hedge decision refused.
+	cancel   context.CancelFunc
+	ctx      context.Context
 }
 
 type attemptResult struct {
@@ -93,15 +97,16 @@
 	if err := q.plan(ctx); err != nil {
 		return nil, err
 	}
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	q.timer = time.NewTimer(time.Hour)
+	defer q.timer.Stop()
+	q.armHedge()
 	for q.pending > 0 {
-		q.armHedge(timer)
 		select {
 		case r := <-q.results:
 			q.handle(ctx, r)
-		case now := <-timer.C:
+		case now := <-q.timer.C:
 			q.hedge(now)
+			q.armHedge()
 		case <-ctx.Done():
 			return q.finish()
 		}
@@ -129,11 +134,17 @@
 	q.pending = len(q.subs)
 	// The channel holds every result, so that no attempt blocks after the query ended.
 	q.results = make(chan attemptResult, len(q.subs)*(maxAttempts+1))
+	e.policy.planned(q.req, len(q.subs))
+	delay, hedging := e.policy.hedgeDelay(q.req.service.Name)
+	now := time.Now()
 	for i := range q.subs {
 		s := &q.subs[i]
 		s.shard = i
-		s.started = time.Now()
+		s.started = now
 		s.ctx, s.cancel = context.WithCancel(ctx)
+		if hedging {
+			s.hedgeAt = s.started.Add(delay)
+		}
 		if !q.launch(i) {
 			q.miss(i, callerapi.ReasonNoReplica)
 		}
@@ -181,11 +192,11 @@
 
 // attempt sends one attempt and reports its result.
 func (e *Engine) attempt(ctx context.Context, results chan<- attemptResult, r attemptResult, msg *targetapi.SearchRequest) {
-	finish := e.policy.start(msg.Service, r.target)
+	token := e.policy.start(msg.Service, r.target)
 	r.reply, r.err = e.targets.Search(ctx, r.target, msg, targethttp.Options{
 		SilentAfter: e.policy.silentAfter(msg.Service),
 	})
-	finish(classOf(r.err))
+	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
 	results <- r
 }
@@ -209,9 +220,6 @@
 	}
 	q.lastError = r.err
 	code := status.CodeOf(r.err)
-	if code == status.Draining {
-		q.engine.policy.leaving(r.target)
-	}
 	q.merger.Miss(s.shard, reasonOf(code))
 	if q.mayRetry(code) && q.launch(r.sub) {
 		return
@@ -235,7 +243,7 @@
 	case status.ConnectionSilent, status.VersionUnavailable, status.Draining:
 		return true
 	}
-	return q.engine.policy.allowRetry(q.req)
+	return q.engine.policy.allowRetry(q.req.service.Name)
 }
 
 // replan starts the query over at another snapshot when the time allows.
@@ -247,12 +255,18 @@
 	}
 	previous := q.snapshot
 	q.excluded = append(q.excluded, previous.Snapshot)
+	// Attempts of the first plan may still be running.
+	q.combined = status.Unknown
 	next, covered, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], q.engine.policy.usable, q.isExcluded)
 	if !ok || covered < len(next.Shards) {
 		// A partial answer at the present snapshot beats another partial one.
 		return false
 	}
-	return q.plan(ctx) == nil
+	if q.plan(ctx) != nil {
+		return false
+	}
+	q.armHedge()
+	return true
 }
 
 func (q *query) accept(i int, reply *targetapi.SearchReply) {
@@ -277,36 +291,46 @@
 	q.pending--
 }
 
-// armHedge sets the timer to the next time at which a hedge may be due.
-func (q *query) armHedge(timer *time.Timer) {
-	delay, ok := q.engine.policy.hedgeDelay(q.req, q.pending, len(q.subs))
-	if !ok {
-		return
-	}
+// armHedge sets the timer to the next hedge decision.
+func (q *query) armHedge() {
+	var next time.Time
 	for i := range q.subs {
 		s := &q.subs[i]
-		if !s.resolved && !s.hedged {
-			timer.Reset(max(time.Until(s.started.Add(delay)), 0))
-			return
+		if !s.resolved && !s.hedgeAt.IsZero() && (next.IsZero() || s.hedgeAt.Before(next)) {
+			next = s.hedgeAt
 		}
 	}
-	timer.Stop()
+	if next.IsZero() {
+		q.timer.Stop()
+		return
+	}
+	q.timer.Reset(max(time.Until(next), 0))
 }
 
-// hedge sends a second attempt for each sub-request that is due.
+// hedge decides about each sub-request that waited for its delay.
 func (q *query) hedge(now time.Time) {
-	delay, ok := q.engine.policy.hedgeDelay(q.req, q.pending, len(q.subs))
-	if !ok {
-		return
-	}
 	for i := range q.subs {
 		s := &q.subs[i]
-		if s.resolved || s.hedged || now.Before(s.started.Add(delay)) {
+		if s.resolved || s.hedgeAt.IsZero() || now.Before(s.hedgeAt) {
 			continue
 		}
-		s.hedged = true
-		if q.engine.policy.allowHedge(q.req) && q.launch(i) {
-			q.engine.metrics.Hedges.Add(1)
+		decision := q.engine.policy.hedge(q.req.service.Name, hedge.Progress{
+			Age:         now.Sub(s.started),
+			Fanout:      len(q.subs),
+			Outstanding: q.pending,
+			Repeated:    s.repeated,
+		})
+		s.hedgeAt = time.Time{}
+		switch decision.Verdict {
+		case hedge.Send:
+			if q.launch(i) {
+				q.engine.metrics.Hedges.Add(1)
+			}
+		case hedge.Wait:
+			s.hedgeAt = now.Add(decision.Wait)
+		case hedge.Slow, hedge.Exhausted:
+			s.repeated = true
+			s.hedgeAt = now.Add(decision.Wait)
 		}
 	}
 }
