Keep requests that crash targets from reaching more than two of them

Cause: a request that crashes its target was retried and hedged like any other. Change: a request that no target has answered runs first on one shard. After a crash it runs again alone on another target; after a second crash it is refused. Conclusion: the cost of the first shard must be measured under load.

--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+// launchRest sends the first attempt of every sub-request that has none.
+func (q *query) launchRest() {
+	q.canary = none
+	for i := range q.subs {
+		if !q.subs[i].launched {
+			q.launchFirst(i)
+		}
+	}
+}
+
+// launchFirst sends the first attempt of a sub-request.
+func (q *query) launchFirst(i int) {
+	s := &q.subs[i]
+	s.launched = true
+	s.started = time.Now()
+	if delay, ok := q.engine.policy.hedgeDelay(q.req.service.Name); ok {
+		s.hedgeAt = s.started.Add(delay)
+	}
+	if !q.launch(i) {
+		q.miss(i, callerapi.ReasonNoReplica)
+		if i == q.canary {
+			q.launchRest()
+		}
+	}
+}
+
+// launch sends an attempt of a sub-request to a target that was not tried yet.
+func (q *query) launch(i int) bool {
+	s := &q.subs[i]
+	if len(s.tried) >= maxAttempts {
+		return false
+	}
+	exclude := s.tried
+	if len(q.avoid) > 0 {
+		exclude = slices.Concat(s.tried, q.avoid)
+	}
+	target, ok := q.engine.policy.pick(q.snapshot.Shards[s.shard], exclude)
+	if !ok {
+		return false
+	}
+	s.tried = append(s.tried, target)
+	s.outstanding++
+	q.attempts++
+	msg := &targetapi.SearchRequest{
+		Identity: targetapi.Identity{
+			RequestID: q.req.id.String(),
+			Attempt:   q.attempts,
+			Workspace: q.req.caller.Workspace,
+			Service:   q.req.service.Name,
+			Shard:     s.shard,
+			Snapshot:  q.snapshot.Snapshot,
+		},
+		Query:          q.req.search.Query,
+		DeadlineUnixMS: q.req.deadline.UnixMilli(),
+	}
+	go q.engine.attempt(s.ctx, q.results, attemptResult{
+		round: q.round, sub: i, target: target, fingerprint: q.fingerprint, alone: i == q.trial,
+	}, msg)
+	return true
+}
+
+// attempt sends one attempt and reports its result.
+func (e *Engine) attempt(ctx context.Context, results chan<- attemptResult, r attemptResult, msg *targetapi.SearchRequest) {
+	token := e.policy.start(msg.Service, r.target)
+	r.reply, r.err = e.targets.Search(ctx, r.target, msg, targethttp.Options{
+		SilentAfter: e.policy.silentAfter(msg.Service),
+	})
+	e.policy.finish(token, classOf(r.err))
+	e.metrics.attempt(r.err)
+	if e.guard != nil && e.targetCrashed(r.target, r.err) {
+		e.metrics.Crashes.Add(1)
+		r.crashed = true
+		// Recorded here because the query may have ended already.
+		r.refused = e.guard.crashed(r.fingerprint, r.target, r.alone)
+	}
+	results <- r
+}
+
+// handle takes the result of an attempt.
+func (q *query) handle(ctx context.Context, r attemptResult) {
+	if r.err == nil || status.From(r.err).Outcome != status.NotRun {
+		q.combined = status.Unknown
+	}
+	if r.round != q.round {
+		return
+	}
+	s := &q.subs[r.sub]
+	s.outstanding--
+	if r.crashed {
+		q.crashed(r.sub, r.refused)
+		return
+	}
+	if s.resolved {
+		return
+	}
+	if r.err == nil {
+		q.accept(r.sub, r.reply)
+		return
+	}
+	q.failed(ctx, r)
+}
+
+// failed retries a sub-request, starts the query over, or gives the shard up.
+func (q *query) failed(ctx context.Context, r attemptResult) {
+	s := &q.subs[r.sub]
+	q.lastError = r.err
+	code := status.CodeOf(r.err)
+	q.merger.Miss(s.shard, reasonOf(code))
+	if q.mayRetry(code) && q.launch(r.sub) {
+		return
+	}
+	if s.outstanding > 0 {
+		return
+	}
+	if code == status.VersionUnavailable && q.replan(ctx) {
+		return
+	}
+	if r.sub == q.trial {
+		q.endTrial(false)
+		q.aborted = q.failure(false)
+		return
+	}
+	q.miss(r.sub, reasonOf(code))
+	if r.sub == q.canary {
+		q.launchRest()
+	}
+}
+
+// mayRetry reports whether a failed attempt may be followed by another. A
+// silent connection is replaced without charge: each one closes a connection,
+// which bounds the number of such retries.
+func (q *query) mayRetry(code status.Code) bool {
+	switch code {
+	case status.Canceled, status.DeadlineExceeded:
+		return false
+	case status.ConnectionSilent, status.VersionUnavailable, status.Draining:
+		return true
+	}
+	return q.engine.policy.allowRetry(q.req.service.Name)
+}
--- /dev/null
+++ b/internal/entry/canary.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// screen decides how the query may start. A request that no target has answered
+// yet first runs on one shard, its canary, so that a request that crashes
+// targets does not reach every shard at once (J. Dean and L. A. Barroso, "The
+// Tail at Scale", CACM 56(2), 2013).
+func (q *query) screen() error {
+	guard := q.engine.guard
+	if guard == nil {
+		return nil
+	}
+	q.fingerprint = guard.fingerprint(q.req)
+	decision, safe := guard.decide(q.fingerprint)
+	if err := decision.Err(); err != nil {
+		return err
+	}
+	q.safe = safe
+	if decision.Verdict == quarantine.Alone {
+		q.avoid = decision.Avoid
+		q.canary, q.trial = 0, 0 // plan chooses the shard.
+	} else if !safe {
+		q.canary = 0
+	}
+	return nil
+}
+
+// cleared takes note of a reply: the request does not crash every target.
+func (q *query) cleared(i int) {
+	if q.engine.guard == nil {
+		return
+	}
+	if !q.safe {
+		q.safe = true
+		q.engine.guard.answered(q.fingerprint)
+	}
+	if i == q.trial {
+		q.endTrial(true)
+		q.avoid = nil
+		held := q.held
+		q.held = nil
+		for _, h := range held {
+			if !q.launch(h) {
+				q.miss(h, callerapi.ReasonConnectionFailed)
+			}
+		}
+	}
+	if i == q.canary {
+		q.launchRest()
+		q.armHedge()
+	}
+}
+
+// endTrial reports the end of a run that was allowed alone.
+func (q *query) endTrial(answered bool) {
+	if q.trial == none {
+		return
+	}
+	q.trial = none
+	q.engine.guard.ended(q.fingerprint, answered)
+}
+
+// crashed goes on after a target crashed during an attempt of sub-request i. The sub-request runs again alone, on a target that the request has not met.
+func (q *query) crashed(i int, refused bool) {
+	if i == q.trial {
+		q.endTrial(false)
+	}
+	s := &q.subs[i]
+	if !refused && (s.resolved || s.outstanding > 0) {
+		return
+	}
+	if !refused && q.trial != none {
+		q.held = append(q.held, i)
+		return
+	}
+	decision, _ := q.engine.guard.decide(q.fingerprint)
+	if refused || decision.Verdict == quarantine.Refuse && i == q.canary {
+		q.aborted = status.New(status.Quarantined, status.Unknown,
+			"the request coincided with crashes of the targets that ran it").WithRetryAfter(decision.RetryAfter)
+		return
+	}
+	if decision.Verdict == quarantine.Alone {
+		q.trial = i
+		q.avoid = decision.Avoid
+	}
+	if decision.Verdict != quarantine.Refuse && q.launch(i) {
+		return
+	}
+	q.endTrial(false)
+	q.miss(i, callerapi.ReasonConnectionFailed)
+	if i == q.canary {
+		q.aborted = status.New(status.Unavailable, status.Unknown, "the target of the first shard crashed and no other holds it").WithRetryAfter(defaultRetryAfter)
+	}
+}
--- /dev/null
+++ b/internal/entry/crash.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+const (
+	// reachTimeout bounds the new connection that tells a crashed target from a
+	// lost connection.
+	reachTimeout = 250 * time.Millisecond
+	// maxSafe bounds the fingerprints of one generation that are known to be safe.
+	maxSafe = 32_768
+	// safePeriod is the age at which a generation is replaced. A request that was
+	// safe may crash a target after the index changed.
+	safePeriod = 5 * time.Minute
+)
+
+// crashGuard keeps requests that crash targets from running again. It is safe
+// for concurrent use.
+type crashGuard struct {
+	self  Identity
+	keyer *quarantine.Keyer
+
+	mu sync.Mutex
+	// detector is guarded by mu.
+	detector *quarantine.Detector
+	// safe and wasSafe are two generations of fingerprints that a target
+	// answered. Guarded by mu.
+	safe, wasSafe map[quarantine.Fingerprint]struct{}
+	// rotated is the start of the present generation. Guarded by mu.
+	rotated time.Duration
+}
+
+func newCrashGuard(self Identity, key []byte) *crashGuard {
+	return &crashGuard{
+		self:     self,
+		keyer:    quarantine.NewKeyer(key),
+		detector: quarantine.New(quarantine.Defaults()),
+		safe:     make(map[quarantine.Fingerprint]struct{}),
+	}
+}
+
+func (g *crashGuard) fingerprint(req *request) quarantine.Fingerprint {
+	return g.keyer.Fingerprint(req.caller.Workspace, req.service.Name, req.search.Query)
+}
+
+// decide says how a request may run, and whether a target has answered it before.
+func (g *crashGuard) decide(fp quarantine.Fingerprint) (d quarantine.Decision, safe bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, current := g.safe[fp]
+	_, previous := g.wasSafe[fp]
+	return g.detector.Decide(fp, g.self.clock()), current || previous
+}
+
+// answered records that a target answered the request.
+func (g *crashGuard) answered(fp quarantine.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.self.clock()
+	if len(g.safe) >= maxSafe || now-g.rotated > safePeriod {
+		g.wasSafe, g.safe = g.safe, make(map[quarantine.Fingerprint]struct{})
+		g.rotated = now
+	}
+	g.safe[fp] = struct{}{}
+}
+
+// crashed records that a target crashed while it ran the request. It reports
+// whether the request is refused from now on.
+func (g *crashGuard) crashed(fp quarantine.Fingerprint, target string, alone bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.safe, fp)
+	delete(g.wasSafe, fp)
+	return g.detector.Crash(fp, target, alone, g.self.clock())
+}
+
+// ended reports the end of a run that was allowed alone.
+func (g *crashGuard) ended(fp quarantine.Fingerprint, answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Ended(fp, answered, g.self.clock())
+}
+
+// facts returns at most limit facts for peers.
+func (g *crashGuard) facts(limit int) quarantine.Facts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Facts(g.self.clock(), limit)
+}
+
+// merge takes the facts of a peer.
+func (g *crashGuard) merge(f quarantine.Facts) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Merge(f, g.self.clock())
+}
+
+// targetCrashed reports whether a failed attempt coincides with a crash of its
+// target: the connection broke after the request was sent and a new one is
+// refused.
+func (e *Engine) targetCrashed(target string, err error) bool {
+	se := status.From(err)
+	if se == nil || se.Code != status.ConnectionFailed || se.Outcome != status.Unknown {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	return !e.targets.Reachable(ctx, target)
+}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -65,8 +65,10 @@
 	signer    *permit.Signer
 	journal   *journal.Journal
 	inherited *journal.Inherited
-	inflight  inflight.Table
-	metrics   *Metrics
+	// guard is nil when the load policies are off.
+	guard    *crashGuard
+	inflight inflight.Table
+	metrics  *Metrics
 
 	plan     atomic.Pointer[plan]
 	sequence atomic.Uint64
@@ -92,8 +94,10 @@
 // New returns an engine that refuses requests until SetDocuments was called.
 func New(cfg Config) *Engine {
 	var p policy = &baseline{}
+	var guard *crashGuard
 	if cfg.PolicyOn {
 		p = newLoaded(cfg.Self)
+		guard = newCrashGuard(cfg.Self, cfg.PermitKey)
 	}
 	return &Engine{
 		self:      cfg.Self,
@@ -101,6 +105,7 @@
 		targets:   cfg.Targets,
 		peers:     cfg.Peers,
 		policy:    p,
+		guard:     guard,
 		signer:    permit.NewSigner(cfg.PermitKey),
 		journal:   journal.New(journalShards),
 		inherited: journal.NewInherited(),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,6 +21,8 @@
 	Attempts expvar.Map
 	// Hedges counts second attempts at another target.
 	Hedges expvar.Int
+	// Crashes counts attempts that coincided with a crash of their target.
+	Crashes expvar.Int
 	// Forwards counts requests sent to another entry.
 	Forwards expvar.Int
 	// Replays counts remembered answers.
@@ -46,6 +48,7 @@
 	vars.Set("refused_total", &m.Refused)
 	vars.Set("attempts_total", &m.Attempts)
 	vars.Set("hedges_total", &m.Hedges)
+	vars.Set("crashes_total", &m.Crashes)
 	vars.Set("forwards_total", &m.Forwards)
 	vars.Set("replays_total", &m.Replays)
 	vars.Set("silent_connections_total", &m.SilentConnections)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamstall/balsamstall/coordination/coverage"
 	"github.com/balsamstall/balsamstall/coordination/permit"
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/coordination/snapshot"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -128,7 +129,13 @@
 	}
 	shard := int(xxhash.Sum64String(req.search.Query) % uint64(len(chosen.Shards)))
 	merger := coverage.New(chosen.Snapshot, len(chosen.Shards), []int{shard})
-	var tried []string
+	answered := false
+	guarded, err := e.guardOnce(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { guarded.end(answered) }()
+	tried := guarded.avoid
 	var last error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
 	for attempt := uint32(1); attempt <= maxAttempts; attempt++ {
 		target, ok := e.policy.pick(chosen.Shards[shard], tried)
@@ -144,7 +151,9 @@
 			Shard:     shard,
 			Snapshot:  chosen.Snapshot,
 		})
+		guarded.attempted(target, err)
 		if err == nil {
+			answered = true
 			return e.answerOnce(req, merger, chosen.Snapshot, reply)
 		}
 		last = err
@@ -159,6 +168,47 @@
 	return nil, &se
 }
 
+// onceGuard relates the attempts of one at-most-once request to crashes.
+type onceGuard struct {
+	engine      *Engine
+	fingerprint quarantine.Fingerprint
+	alone       bool
+	// avoid lists targets that crashed with the request.
+	avoid []string
+}
+
+// guardOnce returns an error when the request is refused because it crashed targets.
+func (e *Engine) guardOnce(req *request) (*onceGuard, error) {
+	g := &onceGuard{engine: e}
+	if e.guard == nil {
+		return g, nil
+	}
+	g.fingerprint = e.guard.fingerprint(req)
+	decision, _ := e.guard.decide(g.fingerprint)
+	if err := decision.Err(); err != nil {
+		return nil, err
+	}
+	g.alone = decision.Verdict == quarantine.Alone
+	g.avoid = decision.Avoid
+	return g, nil
+}
+
+// attempted takes note of the end of an attempt.
+func (g *onceGuard) attempted(target string, err error) {
+	guard := g.engine.guard
+	if guard != nil && g.engine.targetCrashed(target, err) {
+		g.engine.metrics.Crashes.Add(1)
+		guard.crashed(g.fingerprint, target, g.alone)
+	}
+}
+
+// end reports the end of a run that was allowed alone.
+func (g *onceGuard) end(answered bool) {
+	if g.alone {
+		g.engine.guard.ended(g.fingerprint, answered)
+	}
+}
+
 func (e *Engine) attemptOnce(ctx context.Context, req *request, target string, identity targetapi.Identity) (*targetapi.SearchReply, error) {
 	token := e.policy.start(req.service.Name, target)
 	reply, err := e.targets.Search(ctx, target, &targetapi.SearchRequest{
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/coverage"
-	"github.com/balsamstall/balsamstall/coordination/hedge"
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/coordination/snapshot"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -13,7 +14,6 @@
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/transport/callerhttp"
-	"github.com/balsamstall/balsamstall/transport/targethttp"
 )
 
 const (
@@ -22,6 +22,8 @@
 	// answerMargin is kept free before the deadline to merge and send a
 	// partial answer.
 	answerMargin = 3 * time.Millisecond
+	// none is the number of no sub-request.
+	none = -1
 )
 
 // searchAll runs an idempotent search over all shards.
@@ -60,6 +62,19 @@
 	// combined is the outcome over all attempts that ended.
 	combined  status.Outcome
 	lastError error
+	// aborted ends the query with an error, nil for none.
+	aborted error
+
+	fingerprint quarantine.Fingerprint
+	// canary is the sub-request that runs before the others, or -1.
+	canary int
+	// trial is the sub-request that runs under the verdict Alone, or -1.
+	trial int
+	// avoid lists targets that crashed with the request.
+	avoid []string
+	// held lists sub-requests that wait for the end of the trial.
+	held []int
+	safe bool // A target answered this request.
 }
 
 // subRequest is the search of one shard.
@@ -68,6 +83,7 @@
 	started     time.Time
 	tried       []string
 	outstanding int
+	launched    bool
 	resolved    bool
 	// hedgeAt is the time of the next hedge decision, zero for none.
 	hedgeAt  time.Time
@@ -82,10 +98,16 @@
 	target string
 	reply  *targetapi.SearchReply
 	err    error
+	// fingerprint and alone describe the attempt to the crash guard.
+	fingerprint quarantine.Fingerprint
+	alone       bool
+	// crashed is set when the target crashed during the attempt, and refused
+	// when the request is refused from then on.
+	crashed, refused bool
 }
 
 func newQuery(e *Engine, req *request) *query {
-	return &query{engine: e, req: req, combined: status.NotRun}
+	return &query{engine: e, req: req, combined: status.NotRun, canary: none, trial: none}
 }
 
 // run returns the answer, or an error whose outcome tells whether any attempt
@@ -94,13 +116,16 @@
 func (q *query) run(ctx context.Context) (*callerapi.SearchResponse, error) {
 	ctx, cancel := context.WithDeadline(ctx, q.req.deadline.Add(-answerMargin))
 	defer cancel()
-	if err := q.plan(ctx); err != nil {
+	if err := q.screen(); err != nil {
 		return nil, err
 	}
+	defer q.endTrial(false)
 	q.timer = time.NewTimer(time.Hour)
 	defer q.timer.Stop()
-	q.armHedge()
-	for q.pending > 0 {
+	if err := q.plan(ctx); err != nil {
+		return nil, err
+	}
+	for q.pending > 0 && q.aborted == nil {
 		select {
 		case r := <-q.results:
 			q.handle(ctx, r)
@@ -135,20 +160,21 @@
 	// The channel holds every result, so that no attempt blocks after the query ended.
 	q.results = make(chan attemptResult, len(q.subs)*(maxAttempts+1))
 	e.policy.planned(q.req, len(q.subs))
-	delay, hedging := e.policy.hedgeDelay(q.req.service.Name)
-	now := time.Now()
 	for i := range q.subs {
 		s := &q.subs[i]
 		s.shard = i
-		s.started = now
 		s.ctx, s.cancel = context.WithCancel(ctx)
-		if hedging {
-			s.hedgeAt = s.started.Add(delay)
-		}
-		if !q.launch(i) {
-			q.miss(i, callerapi.ReasonNoReplica)
+	}
+	if q.canary == none {
+		q.launchRest()
+	} else {
+		q.canary = rand.IntN(len(q.subs))
+		if q.trial != none {
+			q.trial = q.canary
 		}
+		q.launchFirst(q.canary)
 	}
+	q.armHedge()
 	return nil
 }
 
@@ -161,91 +187,6 @@
 	return false
 }
 
-// launch sends an attempt of a sub-request to a target that was not tried yet.
-func (q *query) launch(i int) bool {
-	s := &q.subs[i]
-	if len(s.tried) >= maxAttempts {
-		return false
-	}
-	target, ok := q.engine.policy.pick(q.snapshot.Shards[s.shard], s.tried)
-	if !ok {
-		return false
-	}
-	s.tried = append(s.tried, target)
-	s.outstanding++
-	q.attempts++
-	msg := &targetapi.SearchRequest{
-		Identity: targetapi.Identity{
-			RequestID: q.req.id.String(),
-			Attempt:   q.attempts,
-			Workspace: q.req.caller.Workspace,
-			Service:   q.req.service.Name,
-			Shard:     s.shard,
-			Snapshot:  q.snapshot.Snapshot,
-		},
-		Query:          q.req.search.Query,
-		DeadlineUnixMS: q.req.deadline.UnixMilli(),
-	}
-	go q.engine.attempt(s.ctx, q.results, attemptResult{round: q.round, sub: i, target: target}, msg)
-	return true
-}
-
-// attempt sends one attempt and reports its result.
-func (e *Engine) attempt(ctx context.Context, results chan<- attemptResult, r attemptResult, msg *targetapi.SearchRequest) {
-	token := e.policy.start(msg.Service, r.target)
-	r.reply, r.err = e.targets.Search(ctx, r.target, msg, targethttp.Options{
-		SilentAfter: e.policy.silentAfter(msg.Service),
-	})
-	e.policy.finish(token, classOf(r.err))
-	e.metrics.attempt(r.err)
-	results <- r
-}
-
-// handle takes the result of an attempt.
-func (q *query) handle(ctx context.Context, r attemptResult) {
-	if r.err != nil && status.From(r.err).Outcome != status.NotRun || r.err == nil {
-		q.combined = status.Unknown
-	}
-	if r.round != q.round {
-		return
-	}
-	s := &q.subs[r.sub]
-	s.outstanding--
-	if s.resolved {
-		return
-	}
-	if r.err == nil {
-		q.accept(r.sub, r.reply)
-		return
-	}
-	q.lastError = r.err
-	code := status.CodeOf(r.err)
-	q.merger.Miss(s.shard, reasonOf(code))
-	if q.mayRetry(code) && q.launch(r.sub) {
-		return
-	}
-	if s.outstanding > 0 {
-		return
-	}
-	if code == status.VersionUnavailable && q.replan(ctx) {
-		return
-	}
-	q.miss(r.sub, reasonOf(code))
-}
-
-// mayRetry reports whether a failed attempt may be followed by another. A
-// silent connection is replaced without charge: each one closes a connection,
-// which bounds the number of such retries.
-func (q *query) mayRetry(code status.Code) bool {
-	switch code {
-	case status.Canceled, status.DeadlineExceeded:
-		return false
-	case status.ConnectionSilent, status.VersionUnavailable, status.Draining:
-		return true
-	}
-	return q.engine.policy.allowRetry(q.req.service.Name)
-}
-
 // replan starts the query over at another snapshot when the time allows.
 func (q *query) replan(ctx context.Context) bool {
 	left := time.Until(q.req.deadline) - answerMargin
@@ -262,11 +203,7 @@
 		// A partial answer at the present snapshot beats another partial one.
 		return false
 	}
-	if q.plan(ctx) != nil {
-		return false
-	}
-	q.armHedge()
-	return true
+	return q.plan(ctx) == nil
 }
 
 func (q *query) accept(i int, reply *targetapi.SearchReply) {
@@ -277,6 +214,7 @@
 	}
 	q.merger.Accept(s.shard, hits)
 	q.resolve(s)
+	q.cleared(i)
 }
 
 func (q *query) miss(i int, reason callerapi.Reason) {
@@ -291,50 +229,6 @@
 	q.pending--
 }
 
-// armHedge sets the timer to the next hedge decision.
-func (q *query) armHedge() {
-	var next time.Time
-	for i := range q.subs {
-		s := &q.subs[i]
-		if !s.resolved && !s.hedgeAt.IsZero() && (next.IsZero() || s.hedgeAt.Before(next)) {
-			next = s.hedgeAt
-		}
-	}
-	if next.IsZero() {
-		q.timer.Stop()
-		return
-	}
-	q.timer.Reset(max(time.Until(next), 0))
-}
-
-// hedge decides about each sub-request that waited for its delay.
-func (q *query) hedge(now time.Time) {
-	for i := range q.subs {
-		s := &q.subs[i]
-		if s.resolved || s.hedgeAt.IsZero() || now.Before(s.hedgeAt) {
-			continue
-		}
-		decision := q.engine.policy.hedge(q.req.service.Name, hedge.Progress{
-			Age:         now.Sub(s.started),
-			Fanout:      len(q.subs),
-			Outstanding: q.pending,
-			Repeated:    s.repeated,
-		})
-		s.hedgeAt = time.Time{}
-		switch decision.Verdict {
-		case hedge.Send:
-			if q.launch(i) {
-				q.engine.metrics.Hedges.Add(1)
-			}
-		case hedge.Wait:
-			s.hedgeAt = now.Add(decision.Wait)
-		case hedge.Slow, hedge.Exhausted:
-			s.repeated = true
-			s.hedgeAt = now.Add(decision.Wait)
-		}
-	}
-}
-
 // finish cancels what is outstanding and returns the answer.
 func (q *query) finish() (*callerapi.SearchResponse, error) {
 	unfinished := false
@@ -344,6 +238,9 @@
 		}
 		q.subs[i].cancel()
 	}
+	if q.aborted != nil {
+		return nil, q.aborted
+	}
 	cov, hits, err := q.merger.Seal(q.req.service.Coverage.MinRatio)
 	if err != nil {
 		q.engine.violation("coverage", err)
