Add the quarantine detector

A request that crashes its targets must be refused, and innocent requests that shared a crashed target must not.

Add coordination/quarantine: keyed fingerprints, the detector, the facts that entries tell each other, and a bounded table. A coincidence makes a request run alone; only a crash of a lone run on another target refuses it.

Without the allowance for a message's travel time two peers renewed a fact without end.

--- /dev/null
+++ b/coordination/quarantine/quarantine_test.go
@@ -0,0 +1,141 @@
+package quarantine_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+func fingerprint(n int) quarantine.Fingerprint { return quarantine.Fingerprint{byte(n), byte(n >> 8)} }
+
+// Guards against a refusal without a conviction in a run that was alone, and
+// against a third run of a request whose lone run crashed another target.
+func TestOnlyACrashOfALoneRunOnAnotherTargetConvicts(t *testing.T) {
+	is := is.New(t)
+	d, fp := quarantine.New(quarantine.Defaults()), fingerprint(1)
+	is.Equal(d.Decide(fp, 0).Verdict, quarantine.Allow)
+	is.True(!d.Crash(fp, "t1", false, 0))
+	is.True(!d.Crash(fp, "t2", false, 0))
+	is.Equal(d.Decide(fp, 1), quarantine.Decision{Verdict: quarantine.Alone, Avoid: []string{"t1", "t2"}})
+	var e *status.Error
+	is.True(errors.As(d.Decide(fp, 1).Err(), &e)) // a second run while the first is alone
+	is.Equal(*e, status.Error{Code: status.Quarantined, Outcome: status.NotRun, Message: e.Message, RetryAfter: time.Second})
+	is.True(!d.Crash(fp, "t1", true, 2)) // a known target convicts at the second time only
+	d.Ended(fp, false, 2)
+	is.Equal(d.Decide(fp, 3).Verdict, quarantine.Alone)
+	is.True(d.Crash(fp, "t3", true, 4))
+	d.Ended(fp, true, 5) // other attempts of a convicted run don't clear it
+	is.Equal(d.Decide(fp, 4+time.Minute), quarantine.Decision{Verdict: quarantine.Refuse, RetryAfter: 9 * time.Minute})
+	is.Equal(d.Decide(fp, 4+10*time.Minute).Verdict, quarantine.Allow)
+}
+
+// Guards against a request that stays suspected after its lone run was
+// answered, and against a peer's older fact that makes it suspected again.
+func TestAnAnswerClears(t *testing.T) {
+	is := is.New(t)
+	d, fp := quarantine.New(quarantine.Defaults()), fingerprint(1)
+	d.Crash(fp, "t1", false, 0)
+	old := d.Facts(0, 10)
+	is.Equal(old.Crashes, []quarantine.CrashFact{{Fingerprint: fp, Target: "t1", Remaining: 10 * time.Minute}})
+	d.Decide(fp, 1)
+	d.Ended(fp, true, 2)
+	d.Merge(old, 3)
+	is.Equal(d.Decide(fp, 4).Verdict, quarantine.Allow)
+	is.Equal(len(d.Facts(4, 10).Crashes), 0)
+	d.Crash(fp, "t1", false, 5)
+	is.Equal(d.Decide(fp, 6).Verdict, quarantine.Alone)
+}
+
+// Guards against unbounded memory, against suspects that push out refusals, and
+// against facts of peers that live longer than the settings or renew each other.
+func TestTableIsBoundedAndFactsEnd(t *testing.T) {
+	s := quarantine.Defaults()
+	s.MaxEntries = 4
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := quarantine.New(s), quarantine.New(s)
+		var now time.Duration
+		t.Repeat(map[string]func(*rapid.T){
+			"crash": func(t *rapid.T) {
+				a.Crash(fingerprint(rapid.IntRange(0, 9).Draw(t, "fp")), rapid.SampledFrom([]string{"t1", "t2", "t3"}).Draw(t, "target"), rapid.Bool().Draw(t, "alone"), now)
+			},
+			"decide": func(t *rapid.T) {
+				fp := fingerprint(rapid.IntRange(0, 9).Draw(t, "fp"))
+				if d := a.Decide(fp, now); (d.Verdict == quarantine.Refuse) != (d.RetryAfter > 0) || d.RetryAfter > s.Period {
+					t.Fatalf("got %+v", d)
+				}
+				a.Ended(fp, rapid.Bool().Draw(t, "answered"), now)
+			},
+			"merge": func(t *rapid.T) {
+				fp, remaining := fingerprint(rapid.IntRange(0, 9).Draw(t, "fp")), time.Duration(rapid.Int64().Draw(t, "remaining"))
+				before := a.Refused(now)
+				a.Merge(quarantine.Facts{Crashes: []quarantine.CrashFact{{fp, "t9", remaining}}}, now)
+				if before < s.MaxEntries && a.Refused(now) < before {
+					t.Fatalf("a suspect pushed out a refusal")
+				}
+				a.Merge(quarantine.Facts{Refusals: []quarantine.RefusalFact{{fp, remaining}}}, now)
+			},
+			"exchange": func(t *rapid.T) {
+				b.Merge(a.Facts(now, 100), now)
+				now += time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "travel"))
+				a.Merge(b.Facts(now, 100), now)
+			},
+			"": func(t *rapid.T) {
+				if a.Len() > s.MaxEntries || b.Len() > s.MaxEntries {
+					t.Fatalf("%d and %d entries", a.Len(), b.Len())
+				}
+			},
+		})
+		// With travel times up to 0.9 s the facts of two peers end soon after the period.
+		for end := now + s.Period + s.SuspicionPeriod; now < end; now += 900 * time.Millisecond {
+			a.Merge(b.Facts(now, 100), now+900*time.Millisecond)
+			b.Merge(a.Facts(now, 100), now+900*time.Millisecond)
+		}
+		if f := a.Facts(now, 100); len(f.Crashes)+len(f.Refusals) > 0 {
+			t.Fatalf("facts renew each other: %+v", f)
+		}
+	})
+}
+
+// Guards against fields that run into each other and against a digest that a
+// caller can compute.
+func TestFingerprintIsKeyedAndKeepsFieldsApart(t *testing.T) {
+	is := is.New(t)
+	k := quarantine.NewKeyer([]byte("key"))
+	is.Equal(k.Fingerprint("a", "b", "c"), k.Fingerprint("a", "b", "c"))
+	is.True(k.Fingerprint("ab", "", "c") != k.Fingerprint("a", "b", "c"))
+	is.True(quarantine.NewKeyer([]byte("other")).Fingerprint("a", "b", "c") != k.Fingerprint("a", "b", "c"))
+	_, err := quarantine.ParseFingerprint(make([]byte, 15))
+	is.Equal(status.CodeOf(err), status.InvalidArgument)
+}
+
+func BenchmarkDecideFullTable(b *testing.B) {
+	s := quarantine.Defaults()
+	d := quarantine.New(s)
+	for i := range s.MaxEntries {
+		d.Crash(fingerprint(i), "t1", false, time.Duration(i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d.Decide(fingerprint(i%(2*s.MaxEntries)), time.Second)
+	}
+}
+
+func ExampleDetector() {
+	fp := quarantine.NewKeyer([]byte("key")).Fingerprint("toolroom-7", "quote-desk-1", "clamp")
+	d := quarantine.New(quarantine.Defaults())
+	d.Crash(fp, "t1", false, 0)
+	fmt.Println(d.Decide(fp, time.Second))
+	d.Crash(fp, "t2", true, 2*time.Second)
+	d.Ended(fp, false, 2*time.Second)
+	fmt.Println(d.Decide(fp, 3*time.Second).Err())
+	// Output:
+	// {alone 0s [t1]}
+	// quarantined: the request coincided with crashes of the targets that ran it
+}
