Add admission: one controller for the services of an entry

Cause: services share the entry and its targets, so a limit per service alone cannot shed low priorities first. Change: package coordination/admission with Controller (adaptive limit for the entry and for each service, priority order with a floor, refusal at arrival when the expected wait leaves no time, spread retry-after).

--- /dev/null
+++ b/coordination/admission/admission_test.go
@@ -0,0 +1,232 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// Guards against lost, twice decided or endlessly held requests, and against
+// more running or waiting requests than the limits allow.
+func TestEveryRequestIsDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := DefaultSettings()
+		settings.MinLimit, settings.InitialLimit, settings.MaxQueue = 2, 4, 6
+		c, rng, now := New(settings), newRand(), time.Duration(0)
+		names := []string{"a", "b", "c"}
+		services := map[string]*Service{}
+		set := func(name string) {
+			services[name] = c.SetService(name, ServiceConfig{
+				Priority:       rapid.IntRange(0, 10).Draw(t, "priority"),
+				MaxConcurrency: rapid.IntRange(0, 4).Draw(t, "concurrency"),
+				MaxQueue:       rapid.IntRange(0, 4).Draw(t, "queue"),
+			})
+		}
+		for _, name := range names {
+			set(name)
+		}
+		running, waiting := map[*Ticket]bool{}, map[*Ticket]bool{}
+		take := func(ticket *Ticket, d Decision) {
+			delete(waiting, ticket)
+			switch d.Verdict {
+			case Admit:
+				running[ticket] = true
+			case Wait:
+				waiting[ticket] = true
+				if d.WaitUntil > ticket.deadline {
+					t.Fatalf("waits until %v after deadline %v", d.WaitUntil, ticket.deadline)
+				}
+			case Refuse:
+				if d.Reason == NoReason || d.RetryAfter < settings.MinRetryAfter || d.RetryAfter > settings.MaxRetryAfter {
+					t.Fatalf("refusal %+v", d)
+				}
+			}
+		}
+		first := func(set map[*Ticket]bool) *Ticket {
+			var oldest *Ticket
+			for ticket := range set {
+				if oldest == nil || ticket.Owner.(int) < oldest.Owner.(int) {
+					oldest = ticket
+				}
+			}
+			return oldest
+		}
+		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * ms
+			name := rapid.SampledFrom(names).Draw(t, "service")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			default:
+				ticket := &Ticket{Owner: step}
+				deadline := now + time.Duration(rapid.IntRange(-10, 300).Draw(t, "deadline"))*ms
+				take(ticket, c.Offer(now, rng, services[name], deadline, ticket))
+			case 0, 1, 2:
+				if ticket := first(running); ticket != nil {
+					delete(running, ticket)
+					if !c.Release(now, ticket, Result(rapid.IntRange(0, 2).Draw(t, "result"))) || c.Release(now, ticket, Finished) {
+						t.Fatalf("release must work exactly once")
+					}
+				}
+			case 3:
+				if ticket := first(waiting); ticket != nil {
+					d, ok := c.Expire(now, rng, ticket)
+					if !ok {
+						t.Fatalf("waiting ticket cannot expire")
+					}
+					take(ticket, d)
+				}
+			case 4:
+				set(name)
+			case 5:
+				c.RemoveService(name)
+				set(name)
+			}
+			for {
+				ticket, d := c.Next(now, rng)
+				if ticket == nil {
+					break
+				}
+				if !waiting[ticket] || d.Verdict == Wait {
+					t.Fatalf("handed out %+v with %+v", ticket, d)
+				}
+				take(ticket, d)
+			}
+			if c.InFlight() != len(running) || c.Waiting() != len(waiting) || c.Waiting() > settings.MaxQueue {
+				t.Fatalf("in flight %d, waiting %d, want %d, %d", c.InFlight(), c.Waiting(), len(running), len(waiting))
+			}
+		}
+	})
+}
+
+// saturated returns a controller with one place, in use by a request of "high",
+// and 100 ms of known latency.
+func saturated() (c *Controller, low, high *Service, running *Ticket) {
+	settings := DefaultSettings()
+	settings.MinLimit, settings.InitialLimit, settings.MaxLimit = 1, 1, 1
+	settings.FloorShare = 0.1
+	c = New(settings)
+	high = c.SetService("high", ServiceConfig{Priority: 1, MaxConcurrency: 10, MaxQueue: 100})
+	low = c.SetService("low", ServiceConfig{Priority: 9, MaxConcurrency: 10, MaxQueue: 100})
+	running = &Ticket{}
+	for range 2 {
+		*running = Ticket{}
+		c.Offer(0, newRand(), high, time.Hour, running)
+		if high.Baseline() == 0 {
+			c.Release(100*ms, running, Finished)
+		}
+	}
+	return c, low, high, running
+}
+
+// Guards against low priorities being served first, and against starvation.
+func TestHighPriorityFirstWithFloor(t *testing.T) {
+	is := is.New(t)
+	c, low, high, running := saturated()
+	rng, now := newRand(), 100*ms
+	for range 50 {
+		is.Equal(c.Offer(now, rng, low, time.Hour, &Ticket{}).Verdict, Wait)
+		is.Equal(c.Offer(now, rng, high, time.Hour, &Ticket{}).Verdict, Wait)
+	}
+	lowServed := 0
+	for i := range 50 {
+		now += 100 * ms
+		c.Release(now, running, Finished)
+		next, d := c.Next(now, rng)
+		is.Equal(d.Verdict, Admit)
+		is.True(i > 0 || next.service == high)
+		if next.service == low {
+			lowServed++
+		}
+		running = next
+	}
+	is.True(lowServed >= 4 && lowServed <= 5) // 10% of 50
+}
+
+// Guards against requests that wait although they cannot meet their deadline.
+func TestRefusesAtArrivalWhenTheWaitLeavesNoTime(t *testing.T) {
+	is := is.New(t)
+	c, low, high, _ := saturated()
+	rng, now := newRand(), 100*ms
+	is.Equal(c.Offer(now, rng, high, now+250*ms, &Ticket{}).Verdict, Wait) // 100 ms wait, 100 ms latency
+	d := c.Offer(now, rng, high, now+250*ms, &Ticket{})
+	is.Equal(d.Verdict, Refuse)
+	is.Equal(d.Reason, DeadlineTooShort)
+	is.Equal(c.Offer(now, rng, low, now+250*ms, &Ticket{}).Verdict, Refuse) // high takes all the capacity
+}
+
+// Guards against a full queue of low priority that locks out a high one.
+func TestFullQueueDisplacesLowPriority(t *testing.T) {
+	is := is.New(t)
+	c, low, high, _ := saturated()
+	c.settings.MaxQueue = 3
+	rng, now := newRand(), 100*ms
+	last := &Ticket{}
+	for _, ticket := range []*Ticket{{}, {}, last} {
+		is.Equal(c.Offer(now, rng, low, time.Hour, ticket).Verdict, Wait)
+	}
+	is.Equal(c.Offer(now, rng, low, time.Hour, &Ticket{}).Reason, QueueFull)
+	is.Equal(c.Offer(now, rng, high, time.Hour, &Ticket{}).Verdict, Wait)
+	refused, d := c.Next(now, rng)
+	is.Equal(refused, last)
+	is.Equal(d.Reason, Displaced)
+}
+
+// Guards against a limit that stays high when latency rises, or low when it
+// falls again.
+func TestLimitFollowsLatency(t *testing.T) {
+	is := is.New(t)
+	c, rng, now := New(DefaultSettings()), newRand(), time.Duration(0)
+	s := c.SetService("s", ServiceConfig{Priority: 1, MaxConcurrency: 1_000})
+	run := func(latency time.Duration, rounds int) int {
+		for range rounds {
+			var open []*Ticket
+			for {
+				ticket := &Ticket{}
+				if c.Offer(now, rng, s, time.Hour, ticket).Verdict != Admit {
+					break
+				}
+				open = append(open, ticket)
+			}
+			now += latency
+			for _, ticket := range open {
+				c.Release(now, ticket, Finished)
+			}
+		}
+		return c.Limit()
+	}
+	fast := run(20*ms, 100)
+	is.True(fast > 200)
+	slow := run(100*ms, 20)
+	is.True(slow < fast/2)
+	is.True(run(20*ms, 100) > slow)
+}
+
+// Guards against refused callers that all come back at the same moment.
+func TestRetryAfterSpreadsReturns(t *testing.T) {
+	is := is.New(t)
+	c, _, high, _ := saturated()
+	c.mean = 0.01 // 10 ms at one place: 100 requests per second
+	rng, now := newRand(), 100*ms
+	perSecond := map[int]int{}
+	for range 400 {
+		d := c.Offer(now, rng, high, now+ms, &Ticket{})
+		is.Equal(d.Verdict, Refuse)
+		perSecond[int(d.RetryAfter/time.Second)]++
+	}
+	for second, n := range perSecond {
+		is.True(second < 5)
+		is.True(n < 250) // of 400 refused at once
+	}
+}
+
+// Guards against allocation on the path of every request.
+func TestRequestPathDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	is.Equal(testing.AllocsPerRun(100, newRequestLoop(25)), 0.0)
+}
--- /dev/null
+++ b/coordination/admission/controller.go
@@ -0,0 +1,197 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Controller decides on the requests of all services of one entry. Create it
+// with New.
+type Controller struct {
+	settings Settings
+	limiter  limiter
+	services map[string]*Service
+	classes  [Lowest + 1]class
+	refused  queue // decided by the controller, to be handed out by Next
+	waiting  int
+	// mean is the recent mean latency of all services in seconds.
+	mean float64
+	// refusals is the decayed number of refusals at refusedAt.
+	refusals  float64
+	refusedAt time.Duration
+}
+
+// class holds the services of one priority.
+type class struct {
+	services []*Service
+	cursor   int // the service that is served next
+	waiting  int
+	// credit grows by FloorShare with each admission of another class.
+	credit float64
+	// admitted is the decayed number of admissions, in units of admissions.
+	admitted float64
+}
+
+// New returns a controller without services.
+func New(s Settings) *Controller {
+	return &Controller{
+		settings: s,
+		limiter:  newLimiter(s.InitialLimit, s.MinLimit, s.MaxLimit),
+		services: map[string]*Service{},
+	}
+}
+
+// SetService adds a service or changes its limits. Its requests that run or wait
+// stay. The Service is the same for every call with one name.
+func (c *Controller) SetService(name string, config ServiceConfig) *Service {
+	config.Priority = min(max(config.Priority, Highest), Lowest)
+	most := float64(max(config.MaxConcurrency, 1))
+	s := c.services[name]
+	if s == nil {
+		s = &Service{name: name, limiter: newLimiter(most, c.settings.MinServiceLimit, most)}
+		c.services[name] = s
+	} else {
+		c.leaveClass(s)
+		s.limiter.setMost(c.settings.MinServiceLimit, most)
+	}
+	s.config = config
+	class := &c.classes[config.Priority]
+	class.services = append(class.services, s)
+	class.waiting += s.queue.length
+	return s
+}
+
+// RemoveService removes a service. Next hands out its waiting requests as
+// refused; the ones that run still need Release.
+func (c *Controller) RemoveService(name string) {
+	s := c.services[name]
+	if s == nil {
+		return
+	}
+	for s.queue.head != nil {
+		c.refuseWaiting(s.queue.head, ServiceRemoved)
+	}
+	c.leaveClass(s)
+	delete(c.services, name)
+	s.removed = true
+}
+
+func (c *Controller) leaveClass(s *Service) {
+	class := &c.classes[s.config.Priority]
+	class.waiting -= s.queue.length
+	class.services = slices.DeleteFunc(class.services, func(other *Service) bool { return other == s })
+}
+
+// Offer decides on a new request with an absolute deadline. After Wait, the
+// caller waits for Next to hand out the ticket, at most until WaitUntil. Offer
+// can displace a waiting request, so that Next follows.
+func (c *Controller) Offer(now time.Duration, rng Rand, s *Service, deadline time.Duration, t *Ticket) Decision {
+	t.service, t.deadline = s, deadline
+	switch {
+	case s.removed:
+		return c.refuse(now, rng, t, ServiceRemoved)
+	case deadline <= now:
+		return c.refuse(now, rng, t, DeadlineTooShort)
+	case s.queue.length == 0 && c.limiter.room() && s.limiter.room():
+		// While the entry has room, requests wait only for their own service.
+		return c.admit(now, t)
+	case now+c.expectedWait(s) > t.latestStart():
+		return c.refuse(now, rng, t, DeadlineTooShort)
+	case !c.makeRoom(s):
+		return c.refuse(now, rng, t, QueueFull)
+	}
+	t.state = stateWaiting
+	s.queue.push(t)
+	c.classes[s.config.Priority].waiting++
+	c.waiting++
+	return Decision{Verdict: Wait, WaitUntil: t.latestStart()}
+}
+
+// Next hands out one decided ticket, or nil when there is none. Call it until
+// it returns nil after each Offer, Release and RemoveService.
+func (c *Controller) Next(now time.Duration, rng Rand) (*Ticket, Decision) {
+	if t := c.refused.head; t != nil {
+		c.refused.remove(t)
+		return t, c.refuse(now, rng, t, t.refusal)
+	}
+	t := c.choose()
+	if t == nil {
+		return nil, Decision{}
+	}
+	c.removeWaiting(t)
+	if now > t.latestStart() {
+		return t, c.refuse(now, rng, t, DeadlineTooShort)
+	}
+	return t, c.admit(now, t)
+}
+
+// Expire takes a waiting request back, because WaitUntil has come or its caller
+// has gone. It reports false when the request is already decided; then Next has
+// handed it out or will do so.
+func (c *Controller) Expire(now time.Duration, rng Rand, t *Ticket) (Decision, bool) {
+	if t.state != stateWaiting {
+		return Decision{}, false
+	}
+	c.removeWaiting(t)
+	return c.refuse(now, rng, t, DeadlineTooShort), true
+}
+
+// Release ends an admitted request. It reports false, and does nothing, for a
+// ticket that does not run.
+func (c *Controller) Release(now time.Duration, t *Ticket, result Result) bool {
+	if t.state != stateRunning {
+		return false
+	}
+	t.state = stateEnded
+	s := t.service
+	s.limiter.leave()
+	c.limiter.leave()
+	if result == Abandoned {
+		return true
+	}
+	latency := max(now-t.admittedAt, 0)
+	slow := result == Overloaded
+	if result == Finished {
+		slow = s.learn(&c.settings, now, latency)
+	}
+	s.mean = average(s.mean, latency, slow)
+	c.mean = average(c.mean, latency, slow)
+	s.limiter.sample(&c.settings, now, slow)
+	c.limiter.sample(&c.settings, now, slow)
+	return true
+}
+
+// Limit returns the number of requests that may run at once at this entry.
+func (c *Controller) Limit() int { return int(c.limiter.limit) }
+
+// InFlight returns the number of requests that run.
+func (c *Controller) InFlight() int { return c.limiter.inFlight }
+
+// Waiting returns the number of requests that wait.
+func (c *Controller) Waiting() int { return c.waiting }
+
+// latestStart is the last time at which the request can start and still finish
+// in the latency without load.
+func (t *Ticket) latestStart() time.Duration {
+	return t.deadline - toDuration(t.service.baseline)
+}
+
+func (c *Controller) admit(now time.Duration, t *Ticket) Decision {
+	t.state, t.admittedAt = stateRunning, now
+	t.service.limiter.enter()
+	c.limiter.enter()
+	c.countAdmission(t.service.config.Priority)
+	return Decision{Verdict: Admit}
+}
+
+func (c *Controller) removeWaiting(t *Ticket) {
+	t.service.queue.remove(t)
+	c.classes[t.service.config.Priority].waiting--
+	c.waiting--
+}
+
+func (c *Controller) refuseWaiting(t *Ticket, reason Reason) {
+	c.removeWaiting(t)
+	t.state, t.refusal = stateRefused, reason
+	c.refused.push(t)
+}
