--- a/internal/load/demo_test.go
+++ b/internal/load/demo_test.go
@@ -4,14 +4,16 @@
 	"bytes"
 	"context"
 	"errors"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
 
+	"github.com/balsamstall/balsamstall/internal/settings"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 )
 
-// Guards against example settings that the load tool refuses.
+// Guards against example settings that the programs refuse.
 func TestExampleSettingsAreValid(t *testing.T) {
 	is := is.New(t)
 	s, err := LoadSettings("../../examples/demo/load.json")
@@ -19,6 +21,14 @@
 	is.Equal(len(s.Entries), demoEntries)
 	_, err = loadFleet("../../examples/bench/load.json")
 	is.NoErr(err)
+	for _, pattern := range []string{"../../examples/demo/entry-*.json", "../../examples/bench/entry-*.json"} {
+		files, err := filepath.Glob(pattern)
+		is.NoErr(err)
+		is.Equal(len(files), demoEntries)
+		for _, file := range files {
+			is.NoErr(settings.Load(file, settings.NewEntry()))
+		}
+	}
 }
 
 // Guards against a demo that fails on correct answers.
