Admit requests by priority and budget retries

Cause: the policy of mode on admitted everything and retried without bound. Change: one admission controller per entry, a retry budget per service, ramp-up weights, and one set of leaving targets for both policy modes.

--- /dev/null
+++ b/internal/entry/admit.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/admission"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// admit implements policy.
+func (l *loaded) admit(ctx context.Context, req *request) (func(admission.Result), error) {
+	s := l.service(req.service.Name)
+	if s == nil {
+		return nil, status.New(status.Unavailable, status.NotRun, "service %s was removed", req.service.Name)
+	}
+	ticket := &admission.Ticket{}
+	decided := make(chan admission.Decision, 1)
+	ticket.Owner = decided
+	deadline := l.now() + time.Until(req.deadline)
+
+	l.admitMu.Lock()
+	decision := l.admission.Offer(l.now(), globalRand{}, s.admission, deadline, ticket)
+	l.handOut()
+	l.admitMu.Unlock()
+	if decision.Verdict == admission.Wait {
+		decision = l.awaitAdmission(ctx, ticket, decided, decision.WaitUntil)
+	}
+	if decision.Verdict != admission.Admit {
+		return nil, refusedAdmission(decision)
+	}
+	return func(result admission.Result) {
+		l.admitMu.Lock()
+		defer l.admitMu.Unlock()
+		l.admission.Release(l.now(), ticket, result)
+		l.handOut()
+	}, nil
+}
+
+// handOut delivers decisions to waiting requests. admitMu must be held.
+func (l *loaded) handOut() {
+	for {
+		ticket, decision := l.admission.Next(l.now(), globalRand{})
+		if ticket == nil {
+			return
+		}
+		ticket.Owner.(chan admission.Decision) <- decision
+	}
+}
+
+// awaitAdmission waits for the decision on a queued request.
+func (l *loaded) awaitAdmission(ctx context.Context, ticket *admission.Ticket, decided chan admission.Decision, until time.Duration) admission.Decision {
+	timer := time.NewTimer(until - l.now())
+	defer timer.Stop()
+	select {
+	case d := <-decided:
+		return d
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	l.admitMu.Lock()
+	d, ok := l.admission.Expire(l.now(), globalRand{}, ticket)
+	l.handOut()
+	l.admitMu.Unlock()
+	if ok {
+		return d
+	}
+	return <-decided
+}
+
+func refusedAdmission(d admission.Decision) error {
+	return status.New(status.Overloaded, status.NotRun, "the service is overloaded: %s", d.Reason).WithRetryAfter(d.RetryAfter)
+}
+
+// loadResult tells admission control how a request ended.
+func loadResult(resp *callerapi.SearchResponse, err error) admission.Result {
+	switch status.CodeOf(err) {
+	case "":
+		for _, n := range resp.Coverage.NotSearched {
+			if n.Reason == callerapi.ReasonDeadline || n.Reason == callerapi.ReasonShed {
+				return admission.Overloaded
+			}
+		}
+		return admission.Finished
+	case status.Shed, status.Overloaded, status.DeadlineExceeded:
+		return admission.Overloaded
+	}
+	return admission.Abandoned
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -80,6 +80,7 @@
 	})
 	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
+	e.noteRefusal(r.target, r.err)
 	if e.guard != nil && e.targetCrashed(r.target, r.err) {
 		e.metrics.Crashes.Add(1)
 		r.crashed = true
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -67,6 +67,7 @@
 	inherited *journal.Inherited
 	// guard is nil when the load policies are off.
 	guard    *crashGuard
+	leaving  *leavingSet
 	inflight inflight.Table
 	metrics  *Metrics
 
@@ -93,10 +94,11 @@
 
 // New returns an engine that refuses requests until SetDocuments was called.
 func New(cfg Config) *Engine {
-	var p policy = &baseline{}
+	leaving := newLeavingSet()
+	var p policy = &baseline{self: cfg.Self, leaving: leaving}
 	var guard *crashGuard
 	if cfg.PolicyOn {
-		p = newLoaded(cfg.Self)
+		p = newLoaded(cfg.Self, leaving)
 		guard = newCrashGuard(cfg.Self, cfg.PermitKey)
 	}
 	return &Engine{
@@ -106,6 +108,7 @@
 		peers:     cfg.Peers,
 		policy:    p,
 		guard:     guard,
+		leaving:   leaving,
 		signer:    permit.NewSigner(cfg.PermitKey),
 		journal:   journal.New(journalShards),
 		inherited: journal.NewInherited(),
--- a/internal/entry/loaded.go
+++ b/internal/entry/loaded.go
@@ -1,15 +1,17 @@
 package entry
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/admission"
 	"github.com/balsamstall/balsamstall/coordination/hedge"
+	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
+	"github.com/balsamstall/balsamstall/coordination/retrybudget"
 	"github.com/balsamstall/balsamstall/state/targets"
 )
 
@@ -29,9 +31,15 @@
 // loaded is the policy with all load policies.
 type loaded struct {
 	self     Identity
+	leaving  *leavingSet
 	settings *replica.Settings
+	ramp     rampup.Settings
 	targets  targets.Table[targetState]
 	services atomic.Pointer[map[string]*serviceState]
+
+	admitMu sync.Mutex
+	// admission is guarded by admitMu.
+	admission *admission.Controller
 }
 
 type targetCell = targets.Cell[targetState]
@@ -40,6 +48,10 @@
 type targetState struct {
 	stats *replica.Stats
 	local bool
+	// failed is set from a failure to the next reply.
+	failed bool
+	// coldSince is the time at which the target turned cold.
+	coldSince time.Duration
 }
 
 // serviceState is what this entry knows of one service.
@@ -47,39 +59,80 @@
 	mu sync.Mutex
 	// hedges is guarded by mu.
 	hedges *hedge.Tracker
+	// retries is guarded by mu.
+	retries *retrybudget.Budget
+	// admission is guarded by loaded.admitMu.
+	admission *admission.Service
 }
 
-func newLoaded(self Identity) *loaded {
-	return &loaded{self: self, settings: replica.DefaultSettings()}
+func newLoaded(self Identity, leaving *leavingSet) *loaded {
+	return &loaded{
+		self:      self,
+		leaving:   leaving,
+		settings:  replica.DefaultSettings(),
+		ramp:      rampup.DefaultSettings(),
+		admission: admission.New(admission.DefaultSettings()),
+	}
 }
 
 func (l *loaded) now() time.Duration { return l.self.clock() }
 
 func (l *loaded) setPlan(p *plan) {
+	l.setTargets(p)
 	now := l.now()
-	ids := make([]string, 0, len(p.targets))
-	for id := range p.targets {
-		ids = append(ids, id)
-	}
-	l.targets.SetTargets(ids, func(id string) targetState {
-		return targetState{stats: replica.NewStats(l.settings, now), local: p.targets[id].Zone == l.self.Zone}
-	})
 	old := l.services.Load()
+	if old == nil {
+		old = &map[string]*serviceState{}
+	}
 	next := make(map[string]*serviceState, len(p.services))
+	l.admitMu.Lock()
+	defer l.admitMu.Unlock()
 	for name, svc := range p.services {
-		var state *serviceState
-		if old != nil {
-			state = (*old)[name]
-		}
+		state := (*old)[name]
 		if state == nil {
-			state = &serviceState{hedges: hedge.New(hedge.DefaultSettings(), now)}
+			state = &serviceState{
+				hedges:  hedge.New(hedge.DefaultSettings(), now),
+				retries: retrybudget.New(retrybudget.DefaultSettings(), now),
+			}
 		}
 		state.mu.Lock()
 		state.hedges.SetBudgetRatio(svc.Hedge.BudgetRatio)
 		state.mu.Unlock()
+		state.admission = l.admission.SetService(name, admission.ServiceConfig{
+			Priority:       svc.Priority,
+			MaxConcurrency: svc.Limits.MaxConcurrency,
+			MaxQueue:       svc.Limits.MaxQueue,
+		})
 		next[name] = state
 	}
+	for name := range *old {
+		if next[name] == nil {
+			l.admission.RemoveService(name)
+		}
+	}
 	l.services.Store(&next)
+	l.handOut()
+}
+
+// setTargets creates the records of new targets. Targets of the first plan are
+// taken for warm; those that are added later start cold.
+func (l *loaded) setTargets(p *plan) {
+	now := l.now()
+	cold := now
+	if l.services.Load() == nil {
+		cold = now - l.ramp.Duration
+	}
+	ids := make([]string, 0, len(p.targets))
+	for id := range p.targets {
+		ids = append(ids, id)
+	}
+	l.targets.SetTargets(ids, func(id string) targetState {
+		return targetState{
+			stats:     replica.NewStats(l.settings, now),
+			local:     p.targets[id].Zone == l.self.Zone,
+			coldSince: cold,
+		}
+	})
 }
 
 func (l *loaded) service(name string) *serviceState {
@@ -89,12 +142,6 @@
 	return nil
 }
 
-func (l *loaded) admit(context.Context, *request) (func(error), error) {
-	return func(error) {}, nil
-}
-
-func (l *loaded) usable(string) bool { return true }
-
 // globalRand is the random source of math/rand/v2, which needs no lock.
 type globalRand struct{}
 
@@ -108,10 +155,15 @@
 	candidates := buffer[:0]
 	for i, id := range ids[:min(len(ids), maxReplicas)] {
 		cell := l.targets.Get(id)
-		candidate := replica.Candidate{Target: i, Excluded: cell == nil || slices.Contains(exclude, id)}
+		candidate := replica.Candidate{
+			Target:   i,
+			Excluded: cell == nil || slices.Contains(exclude, id) || l.leaving.has(id, now),
+		}
 		if cell != nil {
 			cells[i] = cell
-			candidate.Local = cell.Lock().local
+			state := cell.Lock()
+			candidate.Local = state.local
+			candidate.Weight = l.ramp.Weight(now, state.coldSince)
 			cell.Unlock()
 		}
 		candidates = append(candidates, candidate)
@@ -141,11 +193,21 @@
 		return
 	}
 	now := l.now()
-	latency, ok := t.target.Lock().stats.Finish(t.token, now, class)
+	state := t.target.Lock()
+	latency, ok := state.stats.Finish(t.token, now, class)
+	switch {
+	case class == replica.Failure:
+		state.failed = true
+	case class == replica.Success && state.failed:
+		// The target came back, probably with cold caches.
+		state.failed = false
+		state.coldSince = now
+	}
 	t.target.Unlock()
 	if ok && class == replica.Success && t.service != nil {
 		t.service.mu.Lock()
 		t.service.hedges.Observe(now, latency)
+		t.service.retries.Success(1)
 		t.service.mu.Unlock()
 	}
 }
@@ -178,7 +240,15 @@
 	return s.hedges.Decide(l.now(), p)
 }
 
-func (l *loaded) allowRetry(string) bool { return true }
+func (l *loaded) allowRetry(service string) bool {
+	s := l.service(service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retries.TryRetry(l.now())
+}
 
 func (l *loaded) silentAfter(service string) time.Duration {
 	delay, _ := l.hedgeDelay(service)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -23,6 +23,8 @@
 	Hedges expvar.Int
 	// Crashes counts attempts that coincided with a crash of their target.
 	Crashes expvar.Int
+	// LeavingTargets counts targets that were found to be leaving.
+	LeavingTargets expvar.Int
 	// Forwards counts requests sent to another entry.
 	Forwards expvar.Int
 	// Replays counts remembered answers.
@@ -49,6 +51,7 @@
 	vars.Set("attempts_total", &m.Attempts)
 	vars.Set("hedges_total", &m.Hedges)
 	vars.Set("crashes_total", &m.Crashes)
+	vars.Set("leaving_targets_total", &m.LeavingTargets)
 	vars.Set("forwards_total", &m.Forwards)
 	vars.Set("replays_total", &m.Replays)
 	vars.Set("silent_connections_total", &m.SilentConnections)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -105,7 +105,7 @@
 		return e.errorReply(req.id, err, "")
 	}
 	resp, err := e.sendOnce(runCtx, req)
-	release(err)
+	release(loadResult(resp, err))
 	if err == nil {
 		reply := e.answerReply(resp)
 		e.journal.Finish(seq, journal.Record{Outcome: status.Done, HTTPStatus: reply.Status, Body: reply.Body})
@@ -123,7 +123,7 @@
 // sendOnce sends the request to one target of the shard that its query selects.
 // Another target is tried only after an attempt that provably did not run.
 func (e *Engine) sendOnce(ctx context.Context, req *request) (*callerapi.SearchResponse, error) {
-	chosen, _, ok := snapshot.Choose(req.plan.indexes[req.service.Name], e.policy.usable, nil)
+	chosen, _, ok := snapshot.Choose(req.plan.indexes[req.service.Name], e.usable, nil)
 	if !ok {
 		return nil, status.New(status.Unavailable, status.NotRun, "service %s has no snapshot", req.service.Name).WithRetryAfter(defaultRetryAfter)
 	}
@@ -219,6 +219,7 @@
 	}, targethttp.Options{FreshConnection: true})
 	e.policy.finish(token, classOf(err))
 	e.metrics.attempt(err)
+	e.noteRefusal(target, err)
 	return reply, err
 }
 
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/admission"
 	"github.com/balsamstall/balsamstall/coordination/hedge"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -16,10 +17,9 @@
 type policy interface {
 	// admit waits until the request may run. The returned function must be
 	// called when it ended. An error has the outcome NotRun.
-	admit(ctx context.Context, req *request) (release func(err error), err error)
-	// usable reports whether a target may get new work.
-	usable(target string) bool
-	// pick chooses a target that may get an attempt, other than those excluded.
+	admit(ctx context.Context, req *request) (release func(admission.Result), err error)
+	// pick chooses a target that may get an attempt: one that is not leaving and
+	// not excluded.
 	pick(targets, exclude []string) (string, bool)
 	// start records an attempt; finish must follow with the returned token.
 	start(service, target string) attemptToken
@@ -64,35 +64,27 @@
 
 // baseline is the policy without any of the load policies: random replicas, no
 // hedging, no admission control, free retries.
-type baseline struct{}
-
-func (*baseline) admit(context.Context, *request) (func(error), error) {
-	return func(error) {}, nil
+type baseline struct {
+	self    Identity
+	leaving *leavingSet
 }
 
-func (*baseline) usable(string) bool { return true }
+func (*baseline) admit(context.Context, *request) (func(admission.Result), error) {
+	return func(admission.Result) {}, nil
+}
 
-func (*baseline) pick(targets, exclude []string) (string, bool) {
-	left := len(targets)
+func (b *baseline) pick(targets, exclude []string) (string, bool) {
+	now := b.self.clock()
+	allowed := make([]string, 0, len(targets))
 	for _, t := range targets {
-		if slices.Contains(exclude, t) {
-			left--
+		if !slices.Contains(exclude, t) && !b.leaving.has(t, now) {
+			allowed = append(allowed, t)
 		}
 	}
-	if left <= 0 {
+	if len(allowed) == 0 {
 		return "", false
 	}
-	n := rand.IntN(left)
-	for _, t := range targets {
-		if slices.Contains(exclude, t) {
-			continue
-		}
-		if n == 0 {
-			return t, true
-		}
-		n--
-	}
-	return "", false
+	return allowed[rand.IntN(len(allowed))], true
 }
 
 func (*baseline) start(string, string) attemptToken       { return attemptToken{} }
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -34,7 +34,7 @@
 	}
 	q := newQuery(e, req)
 	resp, err := q.run(ctx)
-	release(err)
+	release(loadResult(resp, err))
 	if err != nil {
 		return e.errorReply(req.id, err, "")
 	}
@@ -142,7 +142,7 @@
 // plan chooses the snapshot and sends the first attempt of every shard.
 func (q *query) plan(ctx context.Context) error {
 	e := q.engine
-	chosen, _, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], e.policy.usable, q.isExcluded)
+	chosen, _, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], e.usable, q.isExcluded)
 	if !ok {
 		return status.New(status.Unavailable, status.NotRun, "service %s has no snapshot", q.req.service.Name).WithRetryAfter(defaultRetryAfter)
 	}
@@ -198,7 +198,7 @@
 	q.excluded = append(q.excluded, previous.Snapshot)
 	// Attempts of the first plan may still be running.
 	q.combined = status.Unknown
-	next, covered, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], q.engine.policy.usable, q.isExcluded)
+	next, covered, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], q.engine.usable, q.isExcluded)
 	if !ok || covered < len(next.Shards) {
 		// A partial answer at the present snapshot beats another partial one.
 		return false
