Test that a crashing request reaches two targets

Measured: 12 targets, 12 shards, 10 sends: at most two targets are lost. Without the canary, or without the crash guard, the tests fail. A test with three targets did not tell the canary's absence, so the fake fleet now has twelve.

--- /dev/null
+++ b/internal/entry/crash_test.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
+)
+
+// crashTargets crashes each target that runs the query "poison" and tells
+// the engine that the target refuses new connections.
+func crashTargets(f *fakeFleet) (lost func() []string) {
+	var mu sync.Mutex
+	var crashed []string
+	f.targets.serve = func(_ context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		mu.Lock()
+		down := slices.Contains(crashed, target)
+		mu.Unlock()
+		if down {
+			return nil, status.New(status.ConnectionFailed, status.NotRun, "connection refused")
+		}
+		if req.Query == "poison" {
+			mu.Lock()
+			crashed = append(crashed, target)
+			mu.Unlock()
+			return nil, status.New(status.ConnectionFailed, status.Unknown, "connection reset")
+		}
+		return f.targets.run(req), nil
+	}
+	f.targets.reachable = func(target string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !slices.Contains(crashed, target)
+	}
+	return func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(crashed)
+	}
+}
+
+// Guards F7: a request that crashes its targets reaches two of them, although
+// it concerns many shards and its caller sends it again and again.
+func TestCrashingRequestReachesTwoTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 12)
+	lost := crashTargets(f)
+	for range 10 {
+		got := f.search(0, testKeyAsan, quote("poison"))
+		is.True(got.status != 200)
+	}
+	is.True(len(lost()) <= 2)
+	got := f.search(0, testKeyAsan, quote("poison"))
+	is.Equal(got.fault.Code, status.Quarantined)
+	is.Equal(got.fault.Outcome, status.NotRun)
+	is.True(got.fault.RetryAfterMS > 0)
+}
+
+// Guards against the same for a request that runs at most once.
+func TestCrashingPermitReachesTwoTargets(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 12)
+	lost := crashTargets(f)
+	for range 5 {
+		permit := f.permit(0, testKeyAsan, "poison")
+		f.search(0, testKeyAsan, once("poison", permit))
+	}
+	is.True(len(lost()) <= 2)
+}
+
+// Guards against entries that each lose targets to the request: they tell each
+// other about crashes.
+func TestCrashFactsReachPeers(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 2, 12)
+	lost := crashTargets(f)
+	f.search(0, testKeyAsan, quote("poison"))
+	f.engine(1).guard.merge(f.engine(0).guard.facts(100))
+	got := f.search(1, testKeyAsan, quote("poison"))
+	is.Equal(got.fault.Code, status.Quarantined)
+	is.True(len(lost()) <= 2)
+}
+
+// Guards against the refusal of an innocent request that shared the crashed
+// target: it runs again elsewhere and is answered in full.
+func TestInnocentRequestsAreAnsweredAfterACrash(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 6)
+	crashTargets(f)
+	serve := f.targets.serve
+	var once sync.Once
+	// One target crashes with innocent attempts in flight.
+	f.targets.serve = func(ctx context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		if target == "target-1" {
+			once.Do(func() { poison := *req; poison.Query = "poison"; _, _ = serve(ctx, target, &poison) })
+			return nil, status.New(status.ConnectionFailed, status.Unknown, "connection reset")
+		}
+		return serve(ctx, target, req)
+	}
+	for q := range 20 {
+		for range 2 {
+			got := f.search(0, testKeyAsan, quote(fmt.Sprintf("innocent-%d", q)))
+			is.Equal(got.status, 200)
+			is.Equal(len(got.answer.Coverage.Searched), 6)
+		}
+	}
+}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -31,6 +31,8 @@
 	serve func(ctx context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error)
 	// ran lists the attempts that ran. Guarded by mu.
 	ran []targetapi.SearchRequest
+	// reachable tells whether a target accepts connections; nil means all do.
+	reachable func(target string) bool
 	// sent counts attempts by target. Guarded by mu.
 	sent map[string]int
 }
@@ -69,7 +71,10 @@
 	return n
 }
 
-func (f *fakeTargets) Reachable(context.Context, string) bool           { return true }
+func (f *fakeTargets) Reachable(_ context.Context, target string) bool {
+	return f.reachable == nil || f.reachable(target)
+}
+
 func (f *fakeTargets) Configure([]sheet.Target, func(sheet.Target) int) {}
 func (f *fakeTargets) DropIdle()                                        {}
 func (f *fakeTargets) Connections(string) int                           { return 0 }
@@ -94,6 +99,7 @@
 	testKeyAsan   = "key-of-asan-buyer"
 	testKeyMolina = "key-of-molina-counter"
 	testWindow    = 60 * time.Second
+	testTargets   = 12
 )
 
 func newFakeFleet(t testing.TB, entries, shards int) *fakeFleet {
@@ -178,7 +184,7 @@
 		},
 	}
 	d := &index.Document{Revision: 1}
-	for n := range 3 {
+	for n := range testTargets {
 		s.Targets = append(s.Targets, sheet.Target{
 			ID: fmt.Sprintf("target-%d", n), Address: fmt.Sprintf("127.0.0.1:%d", 18000+n), Zone: "az-1", Slots: 3, MaxConnections: 30,
 		})
@@ -193,8 +199,12 @@
 
 func testSnapshot(version, epoch uint64, shards int) index.Snapshot {
 	snap := index.Snapshot{Snapshot: ids.Snapshot{IndexVersion: version, ShardMapEpoch: epoch}}
-	for range shards {
-		snap.Shards = append(snap.Shards, []string{"target-0", "target-1", "target-2"})
+	for n := range shards {
+		var replicas []string
+		for r := range 3 {
+			replicas = append(replicas, fmt.Sprintf("target-%d", (n+r)%testTargets))
+		}
+		snap.Shards = append(snap.Shards, replicas)
 	}
 	return snap
 }
