Pace the dials to each target and back off after failures

Cause: after the loss of a target every attempt dialled it again at once. Change: the pool asks connshare.Pacer; a dial that must wait is made in the background and serves the first waiter.

--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -78,7 +78,7 @@
 	for _, t := range targets {
 		p := c.pools[t.ID]
 		if p == nil || p.address != t.Address {
-			p = &pool{address: t.Address, dial: c.dial}
+			p = newPool(t.Address, c.dial)
 		}
 		p.setLimit(share(t))
 		keep[t.ID] = p
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/connshare"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -14,6 +16,20 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// processStart is the origin of the clock of the pacers.
+var processStart = time.Now()
+
+func monotonic() time.Duration { return time.Since(processStart) }
+
+// globalRand is the random source of math/rand/v2, which needs no lock.
+type globalRand struct{}
+
+func (globalRand) Float64() float64 { return rand.Float64() }
+
+func newPool(address string, dial dialer) *pool {
+	return &pool{address: address, dial: dial, pacer: connshare.NewPacer(connshare.DefaultSettings())}
+}
+
 // pool holds the connections to one target.
 type pool struct {
 	address string
@@ -30,6 +46,8 @@
 	waiters []chan *conn
 	// lastReply is the time of the last reply on any connection. Guarded by mu.
 	lastReply time.Time
+	// pacer spaces the dials that add connections. Guarded by mu.
+	pacer *connshare.Pacer
 	// closed is set when the target left the sheet. Guarded by mu.
 	closed bool
 }
@@ -64,9 +82,19 @@
 			continue
 		}
 		if p.open < p.limit {
+			wait, ok := p.reserve(fresh)
+			if !ok {
+				p.mu.Unlock()
+				return nil, status.New(status.ConnectionFailed, status.NotRun, "dials to target %s are backing off", p.address)
+			}
 			p.open++
-			p.mu.Unlock()
-			return p.connect(ctx)
+			if wait == 0 {
+				p.mu.Unlock()
+				return p.connect(ctx)
+			}
+			// The connection goes to the first waiter, which may get another
+			// one before.
+			time.AfterFunc(wait, p.connectIdle)
 		}
 		ready := make(chan *conn, 1)
 		p.waiters = append(p.waiters, ready)
@@ -86,6 +114,27 @@
 	}
 }
 
+// reserve returns the time to wait before a dial. It reports false during a
+// backoff. A dial for one attempt that needs a fresh connection is not paced:
+// the attempts bound its rate. mu must be held.
+func (p *pool) reserve(fresh bool) (time.Duration, bool) {
+	if fresh {
+		return 0, true
+	}
+	return p.pacer.Reserve(monotonic(), globalRand{})
+}
+
+// connectIdle opens a connection for a slot that is counted in open and hands
+// it to the first waiter.
+func (p *pool) connectIdle() {
+	ctx, cancel := context.WithTimeout(context.Background(), DefaultDialTimeout)
+	defer cancel()
+	// A failed dial has freed the slot and told a waiter.
+	if c, err := p.connect(ctx); err == nil {
+		p.release(c)
+	}
+}
+
 // await waits for a connection or, with a nil result, for a free slot.
 func (p *pool) await(ctx context.Context, ready chan *conn) (*conn, error) {
 	select {
@@ -114,11 +163,8 @@
 // connect opens a connection for a slot that the caller holds.
 func (p *pool) connect(ctx context.Context) (*conn, error) {
 	nc, err := p.dial.DialContext(ctx, "tcp", p.address)
+	p.dialled(ctx, err)
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
-		p.wake()
 		if ctx.Err() != nil {
 			return nil, contextError(ctx, status.NotRun, "dialling target "+p.address)
 		}
@@ -127,6 +173,25 @@
 	return newConn(nc, time.Now()), nil
 }
 
+// dialled records the end of a dial and frees the slot of a failed one. A dial
+// that was given up says nothing about the target.
+func (p *pool) dialled(ctx context.Context, err error) {
+	p.mu.Lock()
+	switch {
+	case err == nil:
+		p.pacer.Succeeded()
+	case ctx.Err() == nil:
+		p.pacer.Failed(monotonic(), globalRand{})
+	}
+	if err != nil {
+		p.open--
+	}
+	p.mu.Unlock()
+	if err != nil {
+		p.wake()
+	}
+}
+
 // release returns a healthy connection to the pool.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
