--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -50,6 +50,7 @@
 type Targets interface {
 	Search(ctx context.Context, target string, req *targetapi.SearchRequest, opt targethttp.Options) (*targetapi.SearchReply, error)
 	Reachable(ctx context.Context, target string) bool
+	Status(ctx context.Context, target string) (*targetapi.Status, error)
 	Configure(targets []sheet.Target, share func(sheet.Target) int)
 	DropIdle()
 	Connections(target string) int
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -71,6 +71,10 @@
 	return n
 }
 
+func (f *fakeTargets) Status(context.Context, string) (*targetapi.Status, error) {
+	return &targetapi.Status{}, nil
+}
+
 func (f *fakeTargets) Reachable(_ context.Context, target string) bool {
 	return f.reachable == nil || f.reachable(target)
 }
--- a/internal/entry/loaded.go
+++ b/internal/entry/loaded.go
@@ -12,6 +12,7 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
 )
 
@@ -212,6 +213,15 @@
 	}
 }
 
+func (l *loaded) report(target string, r *targetapi.Status) {
+	cell := l.targets.Get(target)
+	if cell == nil {
+		return
+	}
+	defer cell.Unlock()
+	cell.Lock().stats.Report(l.now(), replica.Hint{InFlight: r.InFlight, Slots: r.Slots, Unhealthy: r.Cold})
+}
+
 func (l *loaded) planned(req *request, primaries int) {
 	if s := l.service(req.service.Name); s != nil {
 		s.mu.Lock()
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -10,6 +10,7 @@
 	"github.com/balsamstall/balsamstall/coordination/hedge"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
 
 // policy makes the decisions under load. Implementations are safe for
@@ -37,6 +38,8 @@
 	silentAfter(service string) time.Duration
 	// expectedLatency estimates the latency of a query of the service.
 	expectedLatency(service string) time.Duration
+	// report takes a target's own report.
+	report(target string, r *targetapi.Status)
 	// setPlan tells the policy which services and targets exist.
 	setPlan(p *plan)
 }
@@ -97,4 +100,5 @@
 func (*baseline) allowRetry(string) bool               { return true }
 func (*baseline) silentAfter(string) time.Duration     { return 0 }
 func (*baseline) expectedLatency(string) time.Duration { return 0 }
+func (*baseline) report(string, *targetapi.Status)     {}
 func (*baseline) setPlan(*plan)                        {}
--- /dev/null
+++ b/internal/entry/reports.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// reportInterval is the time in which every target's report is read once.
+	// Reports only make a target look worse and expire after 5 s.
+	reportInterval = 2 * time.Second
+	// reportTimeout bounds the read of one report.
+	reportTimeout = 500 * time.Millisecond
+)
+
+// pollReports reads the reports of all targets until ctx ends. It spreads the
+// reads evenly over the interval, so that they are no burst.
+func (e *Engine) pollReports(ctx context.Context) {
+	for ctx.Err() == nil {
+		var ids []string
+		if p := e.plan.Load(); p != nil {
+			for id := range p.targets {
+				ids = append(ids, id)
+			}
+		}
+		if len(ids) == 0 {
+			sleep(ctx, reportInterval)
+		}
+		gap := reportInterval / time.Duration(max(len(ids), 1))
+		for _, id := range ids {
+			go e.readReport(ctx, id)
+			sleep(ctx, gap/2+time.Duration(rand.Int64N(int64(gap))))
+		}
+	}
+}
+
+func (e *Engine) readReport(ctx context.Context, target string) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := e.targets.Status(ctx, target)
+	if err != nil {
+		return // The attempts themselves tell whether the target works.
+	}
+	e.policy.report(target, report)
+	if report.Draining {
+		e.MarkLeaving(target, leavingPeriod)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -156,6 +156,31 @@
 	return x.run(ctx, message, req.Identity, opt.SilentAfter)
 }
 
+// Status returns a target's own report, which may lag or mislead. Every error is
+// a *status.Error.
+func (c *Client) Status(ctx context.Context, target string) (*targetapi.Status, error) {
+	p := c.pool(target)
+	if p == nil {
+		return nil, status.New(status.NoReplica, status.NotRun, "target %s is not in the sheet", target)
+	}
+	cn, err := p.acquire(ctx, false)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{client: c, pool: p, conn: cn, target: target, started: time.Now()}
+	message := "GET " + targetapi.StatusPath + " HTTP/1.1\r\nHost: " + p.address + "\r\n\r\n"
+	code, body, err := x.roundTrip(ctx, []byte(message), 0)
+	if err != nil {
+		return nil, err
+	}
+	x.end()
+	var report targetapi.Status
+	if code != http.StatusOK || json.Unmarshal(body, &report) != nil {
+		return nil, status.New(status.ReplyMismatch, "", "target %s sent no status", target)
+	}
+	return &report, nil
+}
+
 func encode(address string, req *targetapi.SearchRequest) ([]byte, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
@@ -177,53 +202,66 @@
 	conn    *conn
 	target  string
 	started time.Time
+	// reusable is set when the connection may serve another request.
+	reusable bool
 
 	mu     sync.Mutex
 	silent bool // Guarded by mu.
 }
 
+// run sends an attempt and checks that the reply belongs to it.
 func (x *exchange) run(ctx context.Context, message []byte, want targetapi.Identity, silentAfter time.Duration) (*targetapi.SearchReply, error) {
+	code, body, err := x.roundTrip(ctx, message, silentAfter)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := decodeReply(code, body, want)
+	if status.CodeOf(err) == status.ReplyMismatch {
+		x.client.metrics.ReplyMismatch()
+		x.reusable = false
+	}
+	x.end()
+	return reply, err
+}
+
+// roundTrip writes a request and reads its reply. After a reply, end returns the
+// connection to the pool; after an error the connection is closed.
+func (x *exchange) roundTrip(ctx context.Context, message []byte, silentAfter time.Duration) (code int, body []byte, err error) {
 	deadline, _ := ctx.Deadline()
 	x.conn.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, x.interrupt)
-	defer stop()
 	stopSilence := func() bool { return true }
 	if silentAfter > 0 {
 		stopSilence = time.AfterFunc(silentAfter, x.checkSilence).Stop
 	}
-	defer stopSilence()
-	if n, err := x.conn.Write(message); err != nil {
-		x.pool.discard(x.conn)
-		outcome := status.Unknown
-		if n == 0 {
-			outcome = status.NotRun
-		}
-		return nil, x.ioError(ctx, err, outcome)
-	}
-	code, body, reusable, err := x.readReply()
-	if err != nil {
-		x.pool.discard(x.conn)
-		return nil, x.ioError(ctx, err, status.Unknown)
-	}
-	reply, err := decodeReply(code, body, want)
-	if status.CodeOf(err) == status.ReplyMismatch {
-		x.client.metrics.ReplyMismatch()
-		reusable = false
+	outcome := status.Unknown
+	n, err := x.conn.Write(message)
+	if err == nil {
+		code, body, x.reusable, err = x.readReply()
+	} else if n == 0 {
+		outcome = status.NotRun
 	}
 	// A check that already started may still interrupt the connection, which
 	// must then serve no other attempt.
-	if !stop() || !stopSilence() {
-		reusable = false
+	stopped, quiet := stop(), stopSilence()
+	x.reusable = x.reusable && stopped && quiet
+	if err != nil {
+		x.pool.discard(x.conn)
+		return 0, nil, x.ioError(ctx, err, outcome)
 	}
-	if !reusable {
+	return code, body, nil
+}
+
+// end returns the connection to the pool, or closes it.
+func (x *exchange) end() {
+	if !x.reusable {
 		x.pool.discard(x.conn)
-		return reply, err
+		return
 	}
 	now := time.Now()
 	x.conn.lastReply = now
 	x.pool.replied(now)
 	x.pool.release(x.conn)
-	return reply, err
 }
 
 // interrupt makes pending reads and writes return at once.
