Note a reply and the counts before the client can see them

TestSilentConnections and TestStatusLagsAndMisleads each failed once: a client that had its reply could find reply_sent false, and a run in the record could be missing from in_flight. The reply is now noted before it is sent and taken back on failure, and the counts rise before the run is recorded. go test -race -count=60 and -count=20 -cpu 1,2 pass.

--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -96,10 +96,9 @@
 		t.Fatal("the silent connection answered", err)
 	default:
 	}
-	runs := target.Record().Runs
-	is.Equal(runs[1].Query, "b")
-	is.True(!runs[1].ReplySent)
-	is.True(runs[2].ReplySent)
+	is.True(target.Record().Runs[2].ReplySent)
+	eventually(func() bool { return !target.Record().Runs[1].ReplySent })
+	is.Equal(target.Record().Runs[1].Query, "b")
 }
 
 // Guards against a fraction that silences the wrong number of connections.
@@ -265,8 +264,8 @@
 	_, err = post(newClient(t), target, testRequest("q"), &reply)
 	is.NoErr(err)
 	target.Crash(0)
-	eventually(func() bool { return target.Counters().Replies == 1 })
 	counts := target.Counters()
+	is.Equal(counts.Replies, int64(1))
 	is.Equal(counts.Started, int64(1))
 	is.Equal(counts.Completed, int64(1))
 	is.Equal(counts.Refused["shed"], int64(1))
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -125,13 +125,14 @@
 // run does the work of an attempt that holds a slot. It returns nil when the
 // attempt did not end.
 func (t *Target) run(r *http.Request, req *targetapi.SearchRequest) *Run {
-	run := t.record.start(req)
+	// The counts come first: whoever finds the run in the record finds it counted.
 	running := t.running.Add(1)
 	t.counts.add(func(c *Counters) {
 		c.Started++
 		c.PeakRunning = max(c.PeakRunning, running)
 	})
 	t.noteState()
+	run := t.record.start(req)
 	start := time.Now()
 	defer func() {
 		t.running.Add(-1)
@@ -158,17 +159,32 @@
 // reply sends the answer of an attempt that ran. It holds no slot.
 func (t *Target) reply(w http.ResponseWriter, r *http.Request, req *targetapi.SearchRequest, run *Run) {
 	t.holdReply(r, req, run)
-	var sent bool
+	// A client that has the reply must find it in the record, so it is noted
+	// before it is sent and taken back on failure.
+	t.noteReply(run, true)
+	sent := false
+	defer func() {
+		if !sent {
+			t.noteReply(run, false)
+		}
+	}()
 	if rule := t.affects(FaultWrongReply, req.Query); rule != nil {
 		t.noteFault(run, string(rule.Kind))
 		sent = t.sendWrong(w, r, req, rule)
 	} else {
 		sent = writeJSON(w, r, http.StatusOK, targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)})
 	}
-	if sent {
-		t.record.update(run, func(run *Run) { run.ReplySent = true })
-		t.counts.add(func(c *Counters) { c.Replies++ })
-	}
+}
+
+func (t *Target) noteReply(run *Run, sent bool) {
+	t.record.update(run, func(run *Run) { run.ReplySent = sent })
+	t.counts.add(func(c *Counters) {
+		if sent {
+			c.Replies++
+		} else {
+			c.Replies--
+		}
+	})
 }
 
 func (t *Target) refuse(w http.ResponseWriter, req *targetapi.SearchRequest, err *status.Error) {
