Add faults and call counters to the stand-in platform

Tests of distribution need a platform that is down, stale, cut off from some entries or at its call cap. POST /control/faults and Platform.Apply set these; GET /control/calls counts calls by kind, entry and second.

--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
-	"io"
+	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,23 +22,23 @@
 	RetryAfterMS int64       `json:"retry_after_ms,omitempty"`
 }
 
-// PublishReply is the body of the reply to PUT /control/config/{key}.
-type PublishReply struct {
-	Version uint64 `json:"version"`
-}
+// Kinds of calls in the counters.
+const (
+	KindConfig = "config"
+	KindWatch  = "watch"
+	KindHosts  = "hosts"
+)
 
 func (p *Platform) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platformapi.ConfigPath+"{key}", p.getConfig)
-	mux.HandleFunc("GET "+platformapi.WatchPath+"{key}", p.watch)
-	mux.HandleFunc("GET "+platformapi.HostsPath, p.getHosts)
-	mux.HandleFunc("PUT /control/config/{key}", p.putConfig)
-	mux.HandleFunc("PUT /control/hosts", p.putHosts)
+	mux := p.controlHandler()
+	mux.HandleFunc("GET "+platformapi.ConfigPath+"{key}", p.read(KindConfig, p.getConfig))
+	mux.HandleFunc("GET "+platformapi.WatchPath+"{key}", p.read(KindWatch, p.watch))
+	mux.HandleFunc("GET "+platformapi.HostsPath, p.read(KindHosts, p.getHosts))
 	return mux
 }
 
 func (p *Platform) getConfig(w http.ResponseWriter, r *http.Request) {
-	doc, _ := p.newest(r.PathValue("key"))
+	doc, _ := p.newest(r.PathValue("key"), p.draw())
 	if doc == nil {
 		sendError(w, status.New(status.NotFound, "", "key %q has no value", r.PathValue("key")))
 		return
@@ -45,16 +46,30 @@
 	sendJSON(w, http.StatusOK, doc)
 }
 
-// newest returns the newest version of key, or nil, and a channel that is
-// closed when a newer one appears.
-func (p *Platform) newest(key string) (*platformapi.Document, <-chan struct{}) {
+// draw returns a number from 0 to 1 that decides for the whole call whether a
+// stale replica serves it.
+func (p *Platform) draw() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rng.Float64()
+}
+
+// newest returns the newest version of key that the replica knows, or nil, and
+// a channel that is closed at the next change.
+func (p *Platform) newest(key string, draw float64) (*platformapi.Document, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.history(key)
-	if len(h.versions) == 0 {
-		return nil, h.changed
+	versions := p.documents[key]
+	last := uint64(math.MaxUint64)
+	if r := p.rules[FaultStale]; r != nil && (r.Key == "" || r.Key == key) && (r.Fraction == 0 || draw < r.Fraction) {
+		last = r.pinned[key]
 	}
-	return &h.versions[len(h.versions)-1], h.changed
+	for _, doc := range slices.Backward(versions) {
+		if doc.Version <= last {
+			return &doc, p.changed
+		}
+	}
+	return nil, p.changed
 }
 
 // watch answers as soon as a version above after exists.
@@ -66,8 +81,13 @@
 	}
 	timer := time.NewTimer(waitTime)
 	defer timer.Stop()
+	draw := p.draw()
 	for {
-		doc, changed := p.newest(r.PathValue("key"))
+		if mode := p.failure(r); mode != "" {
+			p.fail(w, r, mode)
+			return
+		}
+		doc, changed := p.newest(r.PathValue("key"), draw)
 		if doc != nil && doc.Version > after {
 			sendJSON(w, http.StatusOK, doc)
 			return
@@ -112,30 +132,6 @@
 	sendJSON(w, http.StatusOK, platformapi.HostList{Hosts: hosts})
 }
 
-func (p *Platform) putConfig(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes+1))
-	if err != nil {
-		sendError(w, status.Wrap(err, status.TooLarge, "", "the value cannot be read"))
-		return
-	}
-	version, err := p.Publish(r.PathValue("key"), value)
-	if err != nil {
-		sendError(w, status.From(err))
-		return
-	}
-	sendJSON(w, http.StatusOK, PublishReply{Version: version})
-}
-
-func (p *Platform) putHosts(w http.ResponseWriter, r *http.Request) {
-	var list platformapi.HostList
-	if bad := decode(w, r, &list); bad != nil {
-		sendError(w, bad)
-		return
-	}
-	p.SetHosts(list.Hosts)
-	sendJSON(w, http.StatusOK, list)
-}
-
 func decode(w http.ResponseWriter, r *http.Request, dst any) *status.Error {
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValueBytes))
 	dec.DisallowUnknownFields()
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,17 +3,18 @@
 package platform
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
-	"net"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
+	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -27,27 +28,39 @@
 // maxHostLists bounds the host lists kept for the lag.
 const maxHostLists = 1_024
 
+// staleSeed seeds the draws of calls that reach a stale replica.
+const staleSeed = 1
+
 // Platform is a stand-in platform.
 type Platform struct {
-	log zerolog.Logger
+	log            zerolog.Logger
+	callsPerSecond int64
+	hostsLag       time.Duration
+	controlAddress string
+	calls          callCounter
+	connections    tracked.Counts
 	// closing is closed by Shutdown and Close. It ends waiting watches.
-	closing   chan struct{}
-	closeOnce sync.Once
+	closing chan struct{}
+	// serving counts the goroutines that accept connections.
+	serving sync.WaitGroup
 
 	mu sync.Mutex
-	// The fields below are guarded by mu.
-	server    *http.Server
-	address   string
-	documents map[string]*history
-	hosts     []hostsAt
-	hostsLag  time.Duration
-}
-
-// history holds the newest versions of one key, oldest first.
-type history struct {
-	versions []platformapi.Document
-	// changed is closed and replaced when a version is added.
+	// The fields below are guarded by mu. The listener and the server are nil
+	// before the start and while connections are refused.
+	listener *tracked.Listener
+	server   *http.Server
+	control  *http.Server
+	address  string
+	closed   bool
+	retry    *time.Timer
+	// documents holds the newest versions by key, oldest first.
+	documents map[string][]platformapi.Document
+	// changed is closed and replaced when a version or a fault changes.
 	changed chan struct{}
+	hosts   []hostsAt
+	rules   map[Fault]*rule
+	limiter *rate.Limiter
+	rng     *rand.Rand
 }
 
 // hostsAt is a host list and the time since which it holds.
@@ -60,12 +73,18 @@
 // are of type *status.Error.
 func New(s *Settings, log zerolog.Logger) (*Platform, error) {
 	p := &Platform{
-		log:       log,
-		closing:   make(chan struct{}),
-		address:   s.Address,
-		documents: make(map[string]*history),
-		hostsLag:  time.Duration(s.HostsLagMS) * time.Millisecond,
+		log:            log,
+		callsPerSecond: s.CallsPerSecond,
+		hostsLag:       time.Duration(s.HostsLagMS) * time.Millisecond,
+		controlAddress: s.ControlAddress,
+		closing:        make(chan struct{}),
+		address:        s.Address,
+		documents:      make(map[string][]platformapi.Document),
+		changed:        make(chan struct{}),
+		rules:          make(map[Fault]*rule),
+		rng:            rand.New(rand.NewPCG(staleSeed, staleSeed)),
 	}
+	p.setRate(s.CallsPerSecond)
 	for _, key := range s.keys() {
 		value, err := s.read(key)
 		if err != nil {
@@ -80,66 +99,6 @@
 	return p, nil
 }
 
-// Addr returns the address that the platform listens on.
-func (p *Platform) Addr() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.address
-}
-
-// Listen opens the configured address and starts to serve it. The error is a
-// *status.Error with the code unavailable.
-func (p *Platform) Listen() error {
-	ln, err := net.Listen("tcp", p.Addr())
-	if err != nil {
-		return status.Wrap(err, status.Unavailable, "", "the platform cannot listen on %s", p.Addr())
-	}
-	p.Start(ln)
-	return nil
-}
-
-// Start serves ln in the background until Shutdown or Close.
-func (p *Platform) Start(ln net.Listener) {
-	server := &http.Server{Handler: p.handler()}
-	p.mu.Lock()
-	p.server = server
-	p.address = ln.Addr().String()
-	p.mu.Unlock()
-	go func() {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			p.log.Error().Err(err).Msg("listener failed")
-		}
-	}()
-}
-
-// Shutdown ends waiting watches, stops accepting connections and waits for
-// running calls until ctx ends.
-func (p *Platform) Shutdown(ctx context.Context) error {
-	p.closeOnce.Do(func() { close(p.closing) })
-	p.mu.Lock()
-	server := p.server
-	p.mu.Unlock()
-	if server == nil {
-		return nil
-	}
-	if err := server.Shutdown(ctx); err != nil {
-		server.Close()
-		return status.Wrap(err, status.DeadlineExceeded, "", "the platform still had running calls")
-	}
-	return nil
-}
-
-// Close stops the platform at once.
-func (p *Platform) Close() {
-	p.closeOnce.Do(func() { close(p.closing) })
-	p.mu.Lock()
-	server := p.server
-	p.mu.Unlock()
-	if server != nil {
-		server.Close() // Only the listener's close can fail, and it is gone either way.
-	}
-}
-
 // Publish stores a new version of key and wakes its watches. It returns the
 // version. The error has the code invalid_argument or too_large.
 func (p *Platform) Publish(key string, value json.RawMessage) (uint64, error) {
@@ -152,29 +111,25 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.history(key)
+	versions := p.documents[key]
 	version := uint64(1)
-	if n := len(h.versions); n > 0 {
-		version = h.versions[n-1].Version + 1
+	if n := len(versions); n > 0 {
+		version = versions[n-1].Version + 1
 	}
-	h.versions = append(h.versions, platformapi.Document{Key: key, Version: version, Value: slices.Clone(value)})
-	if len(h.versions) > maxVersions {
-		h.versions = h.versions[1:]
+	versions = append(versions, platformapi.Document{Key: key, Version: version, Value: slices.Clone(value)})
+	if len(versions) > maxVersions {
+		versions = versions[1:]
 	}
-	close(h.changed)
-	h.changed = make(chan struct{})
+	p.documents[key] = versions
+	p.wake()
 	p.log.Info().Str("key", key).Uint64("version", version).Msg("published")
 	return version, nil
 }
 
-// history returns the versions of key. It needs p.mu.
-func (p *Platform) history(key string) *history {
-	h := p.documents[key]
-	if h == nil {
-		h = &history{changed: make(chan struct{})}
-		p.documents[key] = h
-	}
-	return h
+// wake makes the waiting watches look again. It needs p.mu.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // SetHosts replaces the host list. Readers see it after the lag.
@@ -187,18 +142,15 @@
 	}
 }
 
-// SetHostsLag sets the age of the host list that readers see.
-func (p *Platform) SetHostsLag(lag time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hostsLag = lag
-}
-
 // visibleHosts returns the list that was current one lag ago.
 func (p *Platform) visibleHosts(now time.Time) []platformapi.Host {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	then := now.Add(-p.hostsLag)
+	lag := p.hostsLag
+	if r := p.rules[FaultHostsLag]; r != nil {
+		lag = time.Duration(r.LagMS) * time.Millisecond
+	}
+	then := now.Add(-lag)
 	for _, list := range slices.Backward(p.hosts) {
 		if !list.since.After(then) {
 			return list.hosts
