--- a/cmd/balsam-standin/main.go
+++ b/cmd/balsam-standin/main.go
@@ -21,9 +21,10 @@
 
 // Exit statuses.
 const (
-	exitOK       = 0
-	exitFailure  = 1
-	exitSettings = 2
+	exitOK      = 0
+	exitFailure = 1
+	// exitUsage reports faulty arguments or settings.
+	exitUsage = 2
 )
 
 // shutdownTimeout bounds the wait for running work after a SIGTERM.
@@ -58,17 +59,16 @@
 
 func main() {
 	var opts options
-	ctx := kong.Parse(&opts, kong.Name("balsam-standin"), kong.Description(description), kong.UsageOnError())
-	os.Exit(run(ctx.Command(), &opts))
-}
-
-func run(name string, opts *options) int {
-	switch name {
-	case "target":
-		return runTarget(opts.Target)
-	default:
-		return runPlatform(opts.Platform)
+	parser := kong.Must(&opts, kong.Name("balsam-standin"), kong.Description(description))
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		parser.Errorf("%s; see balsam-standin --help", err)
+		os.Exit(exitUsage)
+	}
+	if ctx.Command() == "target" {
+		os.Exit(runTarget(opts.Target))
 	}
+	os.Exit(runPlatform(opts.Platform))
 }
 
 func runTarget(cmd command) int {
@@ -139,7 +139,7 @@
 	fmt.Fprintln(os.Stderr, err)
 	var faulty *settings.Error
 	if errors.As(err, &faulty) {
-		return exitSettings
+		return exitUsage
 	}
 	return exitFailure
 }
