--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/balsamstall/balsamstall/internal/standin/tracked"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -43,6 +44,9 @@
 	Counters []Counters `json:"counters"`
 }
 
+// zonePrefix selects the targets of a zone.
+const zonePrefix = "zone:"
+
 // control serves the control interface of a group of targets.
 type control struct {
 	// self is the target whose listener received the command, or nil.
@@ -68,12 +72,17 @@
 	case id == "":
 		return nil, status.New(status.InvalidArgument, "", "a target id is needed here")
 	}
+	zone, byZone := strings.CutPrefix(id, zonePrefix)
+	var found []*Target
 	for _, t := range c.all() {
-		if t.ID() == id {
-			return []*Target{t}, nil
+		if t.ID() == id || byZone && t.cfg.Zone == zone {
+			found = append(found, t)
 		}
 	}
-	return nil, status.New(status.NotFound, "", "target %q is not in this process", id)
+	if len(found) == 0 {
+		return nil, status.New(status.NotFound, "", "target %q is not in this process", id)
+	}
+	return found, nil
 }
 
 func (c control) post(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/standin/tracked"
-	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -41,7 +40,7 @@
 	FaultWrongReply Fault = "wrong_reply"
 	// FaultStatus makes GET /v1/status report the state of LagMS ago or the Report.
 	FaultStatus Fault = "status"
-	// FaultSnapshots replaces the snapshots on offer with Services.
+	// FaultSnapshots replaces the snapshots on offer of the named Services.
 	FaultSnapshots Fault = "snapshots"
 	// FaultClear removes every fault. Snapshots and silent connections stay.
 	FaultClear Fault = "clear"
@@ -49,8 +48,9 @@
 
 // Command is the body of POST /control. Which fields apply depends on the fault.
 type Command struct {
-	// Target is the id of a target in the same process, "*" for all of them, or
-	// empty for the target that receives the command.
+	// Target is the id of a target in the same process, "zone:" and a zone for
+	// the targets there, "*" for all of them, or empty for the target that
+	// receives the command.
 	Target string `json:"target,omitempty"`
 	Fault  Fault  `json:"fault"`
 	// Off removes the fault.
@@ -127,7 +127,9 @@
 	case cmd.Fault == FaultSilent:
 		t.silence(cmd.Fraction, keep)
 	case cmd.Fault == FaultSnapshots:
-		t.SetSnapshots(snapshotsOf(cmd.Services))
+		for name, s := range cmd.Services {
+			t.SetSnapshots(name, s.Snapshots)
+		}
 	case cmd.Fault == FaultCrash && cmd.Query == "":
 		t.crash(time.Duration(cmd.RestartMS)*time.Millisecond, keep)
 	default:
@@ -200,14 +202,6 @@
 	return rand.New(rand.NewPCG(seed, faultSeed))
 }
 
-func snapshotsOf(services map[string]Service) map[string][]ids.Snapshot {
-	snapshots := make(map[string][]ids.Snapshot, len(services))
-	for name, s := range services {
-		snapshots[name] = s.Snapshots
-	}
-	return snapshots
-}
-
 var faults = []Fault{
 	FaultSlow, FaultDelay, FaultSilent, FaultCrash, FaultShed, FaultDrain,
 	FaultResetBeforeRun, FaultResetAfterRun, FaultNeverReply, FaultWrongReply, FaultStatus, FaultSnapshots, FaultClear,
--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -207,8 +207,8 @@
 	is := is.New(t)
 	s := NewSettings()
 	s.Services = map[string]Service{"clamps": {Snapshots: []ids.Snapshot{testSnapshot}}}
-	for _, id := range []string{"t1", "t2"} {
-		s.Targets = append(s.Targets, Config{ID: id, Zone: "a", Address: "127.0.0.1:0"})
+	for id, zone := range map[string]string{"t1": "a", "t2": "b"} {
+		s.Targets = append(s.Targets, Config{ID: id, Zone: zone, Address: "127.0.0.1:0"})
 	}
 	fleet := NewFleet(s, zerolog.Nop())
 	is.NoErr(fleet.Start())
@@ -224,6 +224,8 @@
 	is.Equal(control(`{"target":"t2","fault":"drain"}`), http.StatusOK)
 	is.True(fleet.Target("t2").Status().Draining)
 	is.True(!fleet.Target("t1").Status().Draining)
+	is.Equal(control(`{"target":"zone:b","fault":"drain","off":true}`), http.StatusOK)
+	is.True(!fleet.Target("t2").Status().Draining)
 	is.Equal(control(`{"target":"t9","fault":"drain"}`), http.StatusNotFound)
 	is.Equal(control(`{"fault":"slow","factor":-1}`), http.StatusBadRequest)
 	is.Equal(control(`{"fault":"slow","faktor":2}`), http.StatusBadRequest)
@@ -275,3 +277,21 @@
 	is.Equal(target.Counters().Started, int64(0))
 	is.Equal(len(target.Record().Runs), 0)
 }
+
+// Guards against attempts at a withdrawn snapshot that run, and against
+// commands that withdraw the snapshots of other services.
+func TestSnapshotChange(t *testing.T) {
+	is := is.New(t)
+	target := startTarget(t, Config{})
+	next := ids.Snapshot{IndexVersion: testSnapshot.IndexVersion + 1, ShardMapEpoch: testSnapshot.ShardMapEpoch}
+	is.NoErr(target.Apply(Command{Fault: FaultSnapshots, Services: map[string]Service{"jigs": {Snapshots: []ids.Snapshot{next}}}}))
+	var reply struct{ Code status.Code }
+	_, err := post(newClient(t), target, testRequest("q"), &reply)
+	is.NoErr(err)
+	is.Equal(reply.Code, status.Code(""))
+	target.SetSnapshots("clamps", []ids.Snapshot{next})
+	_, err = post(newClient(t), target, testRequest("q"), &reply)
+	is.NoErr(err)
+	is.Equal(reply.Code, status.VersionUnavailable)
+	is.Equal(target.Record().Started, uint64(1))
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -80,9 +80,12 @@
 		faultRNG:  newFaultRNG(cfg.Seed),
 		rules:     make(map[Fault]*rule),
 		stale:     make(map[*tracked.Conn][]byte),
+		snapshots: make(map[string][]ids.Snapshot, len(services)),
 	}
 	t.peers = func() []*Target { return []*Target{t} }
-	t.SetSnapshots(snapshotsOf(services))
+	for name, s := range services {
+		t.snapshots[name] = slices.Clone(s.Snapshots)
+	}
 	return t
 }
 
@@ -166,14 +169,12 @@
 	return t.server
 }
 
-// SetSnapshots replaces the snapshots on offer, by service.
-func (t *Target) SetSnapshots(snapshots map[string][]ids.Snapshot) {
+// SetSnapshots replaces the snapshots on offer of one service. Attempts at
+// other snapshots are refused as version_unavailable.
+func (t *Target) SetSnapshots(service string, snapshots []ids.Snapshot) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.snapshots = make(map[string][]ids.Snapshot, len(snapshots))
-	for name, list := range snapshots {
-		t.snapshots[name] = slices.Clone(list)
-	}
+	t.snapshots[service] = slices.Clone(snapshots)
 }
 
 // SetDraining starts or ends the refusal of new attempts. Running attempts finish.
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -110,3 +110,26 @@
 	}
 	is.Equal(target.Record().Started, uint64(0))
 }
+
+// BenchmarkSearch measures the stand-in itself: no service time, reused connections.
+func BenchmarkSearch(b *testing.B) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := Config{ID: "t1", Slots: 64, MaxConnections: 1_000}
+	target := New(cfg, map[string]Service{"clamps": {Snapshots: []ids.Snapshot{testSnapshot}}}, zerolog.Nop())
+	target.Start(ln)
+	defer target.Close()
+	transport := &http.Transport{MaxIdleConnsPerHost: cfg.Slots}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			var reply targetapi.SearchReply
+			if code, err := post(client, target, testRequest("q"), &reply); err != nil || code != http.StatusOK {
+				b.Error(code, err)
+			}
+		}
+	})
+}
