Sort the hits of a query faster

The merge of 68 shards with 10 hits each took 0.50 to 0.69 ms, most of it in the stable sort.

Use the unstable sort, whose input order is fixed, compare step by step, and allocate the result once.

The property test on the order passes.

--- a/coordination/coverage/coverage.go
+++ b/coordination/coverage/coverage.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -109,7 +110,11 @@
 func (m *Merger) Seal(minRatio float64) (callerapi.Coverage, []callerapi.Hit, error) {
 	m.sealed = true
 	cov := callerapi.Coverage{Searched: []int{}, NotSearched: []callerapi.NotSearched{}}
-	hits := []callerapi.Hit{}
+	total := 0
+	for _, s := range m.shards {
+		total += len(s.hits)
+	}
+	hits := make([]callerapi.Hit, 0, total)
 	for n, s := range m.shards {
 		switch {
 		case !s.concerned:
@@ -125,12 +130,20 @@
 		cov.Ratio = float64(len(cov.Searched)) / float64(m.concerned)
 	}
 	cov.ContractMet = len(cov.Searched) > 0 && cov.Ratio >= minRatio
-	slices.SortStableFunc(hits, compareHits)
+	// Hits that compare as equal come from one reply and start out in its order,
+	// so the unstable sort always gives the same result for the same replies.
+	slices.SortFunc(hits, compareHits)
 	return cov, hits, Check(cov, hits, len(m.shards), m.concerned)
 }
 
 func compareHits(a, b callerapi.Hit) int {
-	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.ID, b.ID))
+	if c := cmp.Compare(b.Score, a.Score); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Shard, b.Shard); c != 0 {
+		return c
+	}
+	return strings.Compare(a.ID, b.ID)
 }
 
 // Check tests the invariants of an answer: the searched and the not-searched
