--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -86,6 +86,7 @@
 		r.crashed = true
 		// Recorded here because the query may have ended already.
 		r.refused = e.guard.crashed(r.fingerprint, r.target, r.alone)
+		e.spread()
 	}
 	results <- r
 }
--- /dev/null
+++ b/internal/entry/daemon.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/internal/settings"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/transport/adminhttp"
+	"github.com/balsamstall/balsamstall/transport/callerhttp"
+	"github.com/balsamstall/balsamstall/transport/peerrpc"
+	"github.com/balsamstall/balsamstall/transport/platformhttp"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+const (
+	// maintenanceInterval is the period of journal expiry.
+	maintenanceInterval = time.Second
+	// stopTimeout bounds the closing of the servers after the drain.
+	stopTimeout = 10 * time.Second
+)
+
+// Daemon is one entry process.
+type Daemon struct {
+	settings *settings.Entry
+	self     Identity
+	log      zerolog.Logger
+	engine   *Engine
+	targets  *targethttp.Client
+	pool     *peerrpc.Pool
+	platform *platformhttp.Client
+	syncer   *configsync.Syncer
+	audit    *audit.Trail
+	metrics  *Metrics
+	facts    *facts
+	app      *kratos.App
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// NewDaemon opens the listeners and wires the parts of an entry.
+func NewDaemon(set *settings.Entry, log zerolog.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: set,
+		self:     Identity{Entry: set.ID, Zone: set.Zone, Incarnation: ids.NewIncarnation(), Start: time.Now()},
+		log:      log.With().Str("entry", set.ID).Logger(),
+		metrics:  NewMetrics(),
+		done:     make(chan struct{}),
+	}
+	d.audit = audit.New(d.log)
+	d.targets = targethttp.New(d.metrics)
+	d.pool = peerrpc.NewPool([]byte(set.PeerKey), peerrpc.Options{})
+	platform, err := platformhttp.New(set.PlatformAddress, set.ID, platformhttp.Options{})
+	if err != nil {
+		return nil, err
+	}
+	d.platform = platform
+	d.engine = New(Config{
+		Self:      d.self,
+		Log:       d.log,
+		Targets:   d.targets,
+		Peers:     d,
+		PermitKey: []byte(set.PermitKey),
+		PolicyOn:  set.PolicyMode == settings.PolicyOn,
+		Metrics:   d.metrics,
+		Spread:    func() { d.syncer.Spread() },
+	})
+	d.facts = newFacts(d.engine)
+	d.wireSync()
+	return d, d.wireServers()
+}
+
+func (d *Daemon) wireServers() error {
+	listeners := make([]net.Listener, 0, 3)
+	for _, address := range []string{d.settings.CallerAddress, d.settings.AdminAddress, d.settings.PeerAddress} {
+		lis, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, l := range listeners {
+				l.Close()
+			}
+			return status.Wrap(err, status.Unavailable, "", "listening on %s", address)
+		}
+		listeners = append(listeners, lis)
+	}
+	caller := callerhttp.NewServer(listeners[0], d.engine, callerhttp.Options{
+		MaxBodyBytes:   d.settings.MaxBodyBytes,
+		MaxConnections: int(d.settings.MaxCallerConnections),
+	})
+	admin := adminhttp.NewServer(listeners[1], d, d.settings.AdminKey)
+	peers := &peerServer{
+		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &peerHandler{engine: d.engine, syncer: d.syncer}, d.log),
+		listener: listeners[2],
+	}
+	d.app = kratos.New(
+		kratos.Name("balsam-entry"),
+		kratos.Server(caller, admin, peers),
+		kratos.Logger(kratosLogger{d.log}),
+		kratos.StopTimeout(stopTimeout),
+		kratos.BeforeStop(func(context.Context) error { d.drain(); return nil }),
+	)
+	return nil
+}
+
+// Run serves until SIGTERM, SIGINT or Shutdown, then stops gracefully.
+func (d *Daemon) Run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	go func() {
+		defer close(d.done)
+		d.syncer.Run(ctx)
+	}()
+	maintained := make(chan struct{})
+	go func() {
+		defer close(maintained)
+		d.maintain(ctx)
+	}()
+	go d.engine.pollReports(ctx)
+	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
+	d.log.Info().Str("incarnation", d.self.Incarnation.String()).Str("callers", d.settings.CallerAddress).Msg("entry started")
+	err := d.app.Run()
+	cancel()
+	<-d.done
+	<-maintained
+	d.pool.Close()
+	d.platform.Close()
+	d.targets.Close()
+	d.log.Info().Msg("entry stopped")
+	if err != nil {
+		return status.Wrap(err, status.Internal, "", "serving")
+	}
+	return nil
+}
+
+// Shutdown starts a planned stop.
+func (d *Daemon) Shutdown() error { return d.app.Stop() }
+
+// Engine returns the request engine.
+func (d *Daemon) Engine() *Engine { return d.engine }
+
+// maintain expires journal entries until ctx ends.
+func (d *Daemon) maintain(ctx context.Context) {
+	tick := time.NewTicker(maintenanceInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			now := d.self.clock()
+			d.engine.journal.Expire(now)
+			d.engine.inherited.Expire(now)
+			d.engine.leaving.expire(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/state/audit"
+)
+
+// handoverTimeout bounds the handover to one successor.
+const handoverTimeout = 3 * time.Second
+
+// drain is the planned stop: not ready, wait for the balancer to notice, finish
+// the requests in flight, hand the journal over.
+func (d *Daemon) drain() {
+	d.engine.draining.Store(true)
+	d.audit.Record(time.Now(), audit.DrainStarted, d.self.Entry, "not ready; requests in flight finish")
+	d.syncer.SetDraining()
+	time.Sleep(time.Duration(d.settings.BalancerDelayMS) * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.DrainTimeoutMS)*time.Millisecond)
+	defer cancel()
+	if err := d.engine.Stop(ctx); err != nil {
+		d.log.Error().Err(err).Msg("requests were still running at the end of the drain timeout")
+	}
+	d.handOver()
+	d.audit.Record(time.Now(), audit.Stopped, d.self.Entry, "requests in flight have finished")
+}
+
+// handOver sends the journal to a successor and tells every peer its name.
+func (d *Daemon) handOver() {
+	parts, err := d.engine.HandoverParts()
+	if err != nil {
+		d.log.Error().Err(err).Msg("exporting the journal failed")
+		return
+	}
+	for _, m := range d.successorCandidates() {
+		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+		accepted := true
+		for _, part := range parts {
+			reply, err := d.pool.Handover(ctx, m.Address, part)
+			if err != nil || !reply.Accepted {
+				d.log.Warn().Str("peer", m.Entry).Err(err).Msg("handover failed; trying the next peer")
+				accepted = false
+				break
+			}
+		}
+		cancel()
+		if !accepted {
+			continue
+		}
+		d.facts.addSuccession(d.self.Incarnation, m.Entry, m.Incarnation)
+		d.audit.Record(time.Now(), audit.Succession, d.self.Entry, "journal handed to "+m.Entry)
+		d.syncer.Announce(context.Background())
+		return
+	}
+	if len(d.settings.Peers) > 0 {
+		d.log.Warn().Msg("no peer took the journal; permits of this entry become void")
+	}
+}
+
+// successorCandidates lists live peers, those of this zone first.
+func (d *Daemon) successorCandidates() []configsync.Member {
+	var live []configsync.Member
+	for _, m := range d.syncer.Members() {
+		if m.Entry != d.self.Entry && m.Alive && !m.Draining {
+			live = append(live, m)
+		}
+	}
+	slices.SortStableFunc(live, func(a, b configsync.Member) int {
+		return sameZone(b, d.self.Zone) - sameZone(a, d.self.Zone)
+	})
+	return live
+}
+
+func sameZone(m configsync.Member, zone string) int {
+	if m.Zone == zone {
+		return 1
+	}
+	return 0
+}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -69,6 +69,7 @@
 	// guard is nil when the load policies are off.
 	guard    *crashGuard
 	leaving  *leavingSet
+	spread   func()
 	inflight inflight.Table
 	metrics  *Metrics
 
@@ -91,11 +92,16 @@
 	// PolicyOn turns the load policies on.
 	PolicyOn bool
 	Metrics  *Metrics
+	// Spread tells peers of new facts at once. It must not block and may be nil.
+	Spread func()
 }
 
 // New returns an engine that refuses requests until SetDocuments was called.
 func New(cfg Config) *Engine {
 	leaving := newLeavingSet()
+	if cfg.Spread == nil {
+		cfg.Spread = func() {}
+	}
 	var p policy = &baseline{self: cfg.Self, leaving: leaving}
 	var guard *crashGuard
 	if cfg.PolicyOn {
@@ -114,6 +120,7 @@
 		journal:   journal.New(journalShards),
 		inherited: journal.NewInherited(),
 		metrics:   cfg.Metrics,
+		spread:    cfg.Spread,
 		parts:     make(map[ids.Incarnation][]*peerpb.HandoverRequest),
 	}
 }
@@ -149,10 +156,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
+	var reply callerhttp.Reply
 	if req.service.Repeat.Rule == sheet.AtMostOnce {
-		return e.searchOnce(ctx, req)
+		reply = e.searchOnce(ctx, req)
+	} else {
+		reply = e.searchAll(ctx, req)
 	}
-	return e.searchAll(ctx, req)
+	e.metrics.served(req.service.Name, reply.Status)
+	return reply
 }
 
 // Refuse implements callerhttp.Handler.
--- /dev/null
+++ b/internal/entry/facts.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+)
+
+const (
+	// maxFacts bounds the crash facts of one message.
+	maxFacts = 256
+	// maxSuccessions bounds the handovers that an entry remembers.
+	maxSuccessions = 8_192
+	// maxSuccessionAge is the longest time for which a handover is remembered. It
+	// covers the longest repeat window of a sheet.
+	maxSuccessionAge = 24 * time.Hour
+	// leavingTravel is taken off the remaining time that a peer tells, so that
+	// entries do not renew the fact for each other without end.
+	leavingTravel = time.Second
+)
+
+// facts joins the engine's short-lived facts to the exchanges with peers. It
+// implements configsync.Facts.
+type facts struct {
+	engine *Engine
+
+	mu sync.Mutex
+	// successions holds the handovers by the incarnation that stopped. Guarded by mu.
+	successions map[ids.Incarnation]succession
+}
+
+type succession struct {
+	entry       string
+	incarnation ids.Incarnation
+	expires     time.Duration
+}
+
+func newFacts(e *Engine) *facts {
+	return &facts{engine: e, successions: make(map[ids.Incarnation]succession)}
+}
+
+// Collect implements configsync.Facts.
+func (f *facts) Collect() configsync.FactSet {
+	var set configsync.FactSet
+	now := f.engine.self.clock()
+	if f.engine.guard != nil {
+		known := f.engine.guard.facts(maxFacts)
+		for _, r := range known.Refusals {
+			set.Quarantines = append(set.Quarantines, &peerpb.Quarantine{Fingerprint: r.Fingerprint[:], RemainingMs: r.Remaining.Milliseconds()})
+		}
+		for _, c := range known.Crashes {
+			set.Crashes = append(set.Crashes, &peerpb.Crash{Fingerprint: c.Fingerprint[:], Target: c.Target, RemainingMs: c.Remaining.Milliseconds()})
+		}
+	}
+	for target, left := range f.engine.leaving.remaining(now) {
+		set.Leaving = append(set.Leaving, &peerpb.Leaving{Target: target, RemainingMs: left.Milliseconds()})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for inc, s := range f.successions {
+		if now >= s.expires {
+			delete(f.successions, inc)
+			continue
+		}
+		set.Successions = append(set.Successions, &peerpb.Succession{Incarnation: inc[:], Successor: s.entry, SuccessorIncarnation: s.incarnation[:]})
+	}
+	return set
+}
+
+// Receive implements configsync.Facts.
+func (f *facts) Receive(_ string, set configsync.FactSet) {
+	f.receiveCrashes(set)
+	for _, l := range set.Leaving {
+		left := time.Duration(l.RemainingMs)*time.Millisecond - leavingTravel
+		if left > 0 {
+			f.engine.MarkLeaving(l.Target, min(left, leavingPeriod))
+		}
+	}
+	for _, s := range set.Successions {
+		if len(s.Incarnation) == ids.IncarnationSize && len(s.SuccessorIncarnation) == ids.IncarnationSize {
+			f.addSuccession(ids.Incarnation(s.Incarnation), s.Successor, ids.Incarnation(s.SuccessorIncarnation))
+		}
+	}
+}
+
+func (f *facts) receiveCrashes(set configsync.FactSet) {
+	if f.engine.guard == nil {
+		return
+	}
+	var known quarantine.Facts
+	for _, q := range set.Quarantines {
+		if fp, err := quarantine.ParseFingerprint(q.Fingerprint); err == nil {
+			known.Refusals = append(known.Refusals, quarantine.RefusalFact{Fingerprint: fp, Remaining: time.Duration(q.RemainingMs) * time.Millisecond})
+		}
+	}
+	for _, c := range set.Crashes {
+		if fp, err := quarantine.ParseFingerprint(c.Fingerprint); err == nil {
+			known.Crashes = append(known.Crashes, quarantine.CrashFact{Fingerprint: fp, Target: c.Target, Remaining: time.Duration(c.RemainingMs) * time.Millisecond})
+		}
+	}
+	f.engine.guard.merge(known)
+}
+
+// addSuccession records that an incarnation stopped and handed its journal over.
+// The first record stays: an incarnation stops once.
+func (f *facts) addSuccession(stopped ids.Incarnation, entry string, incarnation ids.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.successions[stopped]; ok || len(f.successions) >= maxSuccessions {
+		return
+	}
+	f.successions[stopped] = succession{entry: entry, incarnation: incarnation, expires: f.engine.self.clock() + maxSuccessionAge}
+}
+
+// successor returns the entry that holds the journal of a stopped incarnation.
+func (f *facts) successor(stopped ids.Incarnation) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.successions[stopped]
+	return s.entry, ok && f.engine.self.clock() < s.expires
+}
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -74,6 +74,7 @@
 	now := e.self.clock()
 	if e.leaving.mark(target, now, now+period) {
 		e.metrics.LeavingTargets.Add(1)
+		e.spread()
 		e.log.Info().Str("target", target).Msg("target is leaving; it gets no new work")
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"net/http"
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -15,6 +16,8 @@
 	Partial expvar.Int
 	// ContractMissed counts answers below the coverage of the contract.
 	ContractMissed expvar.Int
+	// ServiceAnswered and ServiceRefused count replies by service.
+	ServiceAnswered, ServiceRefused expvar.Map
 	// Refused counts refusals by code.
 	Refused expvar.Map
 	// Attempts counts attempts at targets that ended, by code; "ok" is a reply.
@@ -47,6 +50,8 @@
 	vars.Set("answered_total", &m.Answered)
 	vars.Set("partial_total", &m.Partial)
 	vars.Set("contract_missed_total", &m.ContractMissed)
+	vars.Set("service_answered_total", &m.ServiceAnswered)
+	vars.Set("service_refused_total", &m.ServiceRefused)
 	vars.Set("refused_total", &m.Refused)
 	vars.Set("attempts_total", &m.Attempts)
 	vars.Set("hedges_total", &m.Hedges)
@@ -75,6 +80,27 @@
 	}
 }
 
+// served counts a reply of a service.
+func (m *Metrics) served(service string, code int) {
+	if code == http.StatusOK {
+		m.ServiceAnswered.Add(service, 1)
+	} else {
+		m.ServiceRefused.Add(service, 1)
+	}
+}
+
+// service returns the counts of one service.
+func (m *Metrics) service(name string) (answered, refused uint64) {
+	return count(&m.ServiceAnswered, name), count(&m.ServiceRefused, name)
+}
+
+func count(m *expvar.Map, key string) uint64 {
+	if v, ok := m.Get(key).(*expvar.Int); ok {
+		return uint64(v.Value())
+	}
+	return 0
+}
+
 func (m *Metrics) refused(err *status.Error) { m.Refused.Add(string(err.Code), 1) }
 
 func (m *Metrics) attempt(err error) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -199,6 +199,7 @@
 	if guard != nil && g.engine.targetCrashed(target, err) {
 		g.engine.metrics.Crashes.Add(1)
 		guard.crashed(g.fingerprint, target, g.alone)
+		g.engine.spread()
 	}
 }
 
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"context"
+	"net"
+
+	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/transport/peerrpc"
+)
+
+// peerServer runs the server for peers as a kratos server.
+type peerServer struct {
+	server   *peerrpc.Server
+	listener net.Listener
+	cancel   context.CancelFunc
+}
+
+// Start implements kratos' transport.Server.
+func (p *peerServer) Start(ctx context.Context) error {
+	ctx, p.cancel = context.WithCancel(ctx)
+	return p.server.Serve(ctx, p.listener)
+}
+
+// Stop implements kratos' transport.Server.
+func (p *peerServer) Stop(context.Context) error {
+	if p.cancel != nil {
+		p.cancel()
+	}
+	return nil
+}
+
+// peerHandler serves the calls of other entries.
+type peerHandler struct {
+	engine *Engine
+	syncer *configsync.Syncer
+}
+
+func (h *peerHandler) Forward(ctx context.Context, in *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+	return h.engine.HandleForward(ctx, in)
+}
+
+func (h *peerHandler) Exchange(ctx context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return h.syncer.HandleExchange(ctx, in)
+}
+
+func (h *peerHandler) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return h.syncer.HandleFetch(ctx, in)
+}
+
+func (h *peerHandler) Handover(ctx context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	return h.engine.HandleHandover(ctx, in)
+}
+
+// Forward implements Forwarder.
+func (d *Daemon) Forward(ctx context.Context, entry string, req *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
+	address, ok := d.peerAddress(entry)
+	if !ok {
+		return nil, status.New(status.NotFound, status.NotRun, "entry %s is not known", entry)
+	}
+	return d.pool.Forward(ctx, address, req)
+}
+
+// Successor implements Forwarder.
+func (d *Daemon) Successor(inc ids.Incarnation) (string, bool) { return d.facts.successor(inc) }
+
+func (d *Daemon) peerAddress(entry string) (string, bool) {
+	for _, m := range d.syncer.Members() {
+		if m.Entry == entry {
+			return m.Address, true
+		}
+	}
+	for _, p := range d.settings.Peers {
+		if p.ID == entry {
+			return p.Address, true
+		}
+	}
+	return "", false
+}
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -40,6 +40,9 @@
 	expectedLatency(service string) time.Duration
 	// report takes a target's own report.
 	report(target string, r *targetapi.Status)
+	// describeService and describeTarget fill a row of the operators' status.
+	describeService(name string, row *serviceReport)
+	describeTarget(id string, row *targetReport)
 	// setPlan tells the policy which services and targets exist.
 	setPlan(p *plan)
 }
--- /dev/null
+++ b/internal/entry/sync.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+)
+
+// wireSync connects the engine to the documents, the host list and the peers.
+func (d *Daemon) wireSync() {
+	set := d.settings
+	cfg := configsync.Config{
+		Entry:            set.ID,
+		Zone:             set.Zone,
+		Address:          set.PeerAddress,
+		Incarnation:      d.self.Incarnation,
+		WatchersPerZone:  int(set.WatchersPerZone),
+		PushFanout:       int(set.PushFanout),
+		ExchangeInterval: time.Duration(set.ExchangeIntervalMS) * time.Millisecond,
+		PollInterval:     time.Duration(set.PollIntervalMS) * time.Millisecond,
+	}
+	if cfg.PushFanout == 0 {
+		cfg.PushFanout = -1 // Zero would select the default.
+	}
+	for _, p := range set.Peers {
+		cfg.Peers = append(cfg.Peers, configsync.Peer{Entry: p.ID, Zone: p.Zone, Address: p.Address})
+	}
+	d.syncer = configsync.New(cfg, configsync.Deps{
+		Platform:   d.platform,
+		Peers:      d.pool,
+		Facts:      d.facts,
+		Audit:      d.audit,
+		Log:        d.log,
+		ParseSheet: sheet.Parse,
+		ParseIndex: index.Parse,
+		OnChange:   d.onChange,
+		OnHosts:    d.onHosts,
+	})
+}
+
+// onChange puts new documents in force once both are known.
+func (d *Daemon) onChange(v *configsync.View) {
+	if v.Sheet != nil && v.Index != nil {
+		d.engine.SetDocuments(v.Sheet, v.Index)
+	}
+}
+
+// onHosts takes the platform's word for targets that leave.
+func (d *Daemon) onHosts(hosts []platformapi.Host) {
+	for _, h := range hosts {
+		if h.Kind == platformapi.KindTarget && h.State == platformapi.HostLeaving {
+			d.engine.MarkLeaving(h.ID, leavingPeriod)
+		}
+	}
+}
