Replace silent connections without losing a shard

Cause: process-level tests lost shards in three ways. A retry after a silent connection could not use the same target, and with two replicas none was left. Dials paced at 20/s refilled a large pool too slowly, and an attempt that found no dial slot failed instead of waiting. The trial of a suspected request ran on the other replica of the same shard, so that the shard lost both. Change: a silent connection does not exclude its target and its retry uses a new connection; the dial rate follows the share; attempts wait while the pool has a connection; trials run on a shard with other targets. An entry is ready only when its engine has a plan.

--- a/coordination/connshare/pacer.go
+++ b/coordination/connshare/pacer.go
@@ -52,6 +52,13 @@
 // NewPacer returns a pacer that allows a burst at once.
 func NewPacer(s Settings) *Pacer { return &Pacer{settings: s} }
 
+// SetRate changes the sustained rate and the burst. Both follow the share of
+// connections, so that a pool that lost all of them is full again after about a
+// second.
+func (p *Pacer) SetRate(dialsPerSecond float64, burst int) {
+	p.settings.DialsPerSecond, p.settings.Burst = dialsPerSecond, burst
+}
+
 // Reserve takes the place of one dial and returns the time to wait before it. It
 // reports false, and takes no place, when the wait would exceed MaxWait.
 func (p *Pacer) Reserve(now time.Duration, rng Rand) (wait time.Duration, ok bool) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,18 +29,23 @@
 	if delay, ok := q.engine.policy.hedgeDelay(q.req.service.Name); ok {
 		s.hedgeAt = s.started.Add(delay)
 	}
-	if !q.launch(i) {
-		q.miss(i, callerapi.ReasonNoReplica)
-		if i == q.canary {
-			q.launchRest()
-		}
+	if q.launch(i) {
+		return
+	}
+	q.miss(i, callerapi.ReasonNoReplica)
+	switch i {
+	case q.trial:
+		q.endTrial(false)
+		q.aborted = q.failure(false)
+	case q.canary:
+		q.launchRest()
 	}
 }
 
 // launch sends an attempt of a sub-request to a target that was not tried yet.
 func (q *query) launch(i int) bool {
 	s := &q.subs[i]
-	if len(s.tried) >= maxAttempts {
+	if s.attempts >= maxAttempts {
 		return false
 	}
 	exclude := s.tried
@@ -52,6 +57,7 @@
 		return false
 	}
 	s.tried = append(s.tried, target)
+	s.attempts++
 	s.outstanding++
 	q.attempts++
 	msg := &targetapi.SearchRequest{
@@ -67,7 +73,7 @@
 		DeadlineUnixMS: q.req.deadline.UnixMilli(),
 	}
 	go q.engine.attempt(s.ctx, q.results, attemptResult{
-		round: q.round, sub: i, target: target, fingerprint: q.fingerprint, alone: i == q.trial,
+		round: q.round, sub: i, target: target, fresh: s.fresh, fingerprint: q.fingerprint, alone: i == q.trial,
 	}, msg)
 	return true
 }
@@ -76,7 +82,8 @@
 func (e *Engine) attempt(ctx context.Context, results chan<- attemptResult, r attemptResult, msg *targetapi.SearchRequest) {
 	token := e.policy.start(msg.Service, r.target)
 	r.reply, r.err = e.targets.Search(ctx, r.target, msg, targethttp.Options{
-		SilentAfter: e.policy.silentAfter(msg.Service),
+		FreshConnection: r.fresh,
+		SilentAfter:     e.policy.silentAfter(msg.Service),
 	})
 	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
@@ -121,6 +128,11 @@
 	q.lastError = r.err
 	code := status.CodeOf(r.err)
 	q.merger.Miss(s.shard, reasonOf(code))
+	if code == status.ConnectionSilent {
+		// The target works; only the connection is to blame.
+		s.tried = slices.DeleteFunc(s.tried, func(t string) bool { return t == r.target })
+		s.fresh = true
+	}
 	if q.mayRetry(code) && q.launch(r.sub) {
 		return
 	}
@@ -130,6 +142,9 @@
 	if code == status.VersionUnavailable && q.replan(ctx) {
 		return
 	}
+	if r.sub == q.trial && r.sub == q.canary && status.From(r.err).Outcome == status.NotRun && q.moveTrial(r.sub) {
+		return
+	}
 	if r.sub == q.trial {
 		q.endTrial(false)
 		q.aborted = q.failure(false)
--- a/internal/entry/canary.go
+++ b/internal/entry/canary.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"math/rand/v2"
+	"slices"
+
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -87,6 +90,9 @@
 	if decision.Verdict == quarantine.Alone {
 		q.trial = i
 		q.avoid = decision.Avoid
+		if i == q.canary && q.moveTrial(i) {
+			return
+		}
 	}
 	if decision.Verdict != quarantine.Refuse && q.launch(i) {
 		return
@@ -97,3 +103,42 @@
 		q.aborted = status.New(status.Unavailable, status.Unknown, "the target of the first shard crashed and no other holds it").WithRetryAfter(defaultRetryAfter)
 	}
 }
+
+// maxTrialShards bounds the shards on which one query tries to run alone.
+const maxTrialShards = 4
+
+// moveTrial runs the trial on another shard. A second crash then hits a target
+// that does not hold the same shards as the first, so that each shard keeps a
+// replica. Sub-request i runs later with the others.
+func (q *query) moveTrial(i int) bool {
+	if q.trials >= maxTrialShards {
+		return false
+	}
+	q.trials++
+	next := q.disjointShard(i)
+	if next == none {
+		return false
+	}
+	q.subs[i].launched = false
+	q.canary, q.trial = next, next
+	q.launchFirst(next)
+	q.armHedge()
+	return true
+}
+
+// disjointShard returns a random sub-request without attempts whose targets
+// include none that crashed with the request, or none.
+func (q *query) disjointShard(except int) int {
+	first := rand.IntN(len(q.subs))
+	for k := range q.subs {
+		n := (first + k) % len(q.subs)
+		s := &q.subs[n]
+		if n == except || s.launched || s.attempts > 0 {
+			continue
+		}
+		if !slices.ContainsFunc(q.snapshot.Shards[s.shard], func(t string) bool { return slices.Contains(q.avoid, t) }) {
+			return n
+		}
+	}
+	return none
+}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -88,7 +87,6 @@
 	targets *fakeTargets
 	sheet   *sheet.Sheet
 	index   *index.Document
-	rand    *rand.Rand
 
 	mu sync.Mutex
 	// engines holds the running engine of each entry. Guarded by mu.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -50,7 +50,9 @@
 }
 
 // Ready implements adminhttp.Operator.
-func (d *Daemon) Ready() bool { return d.syncer.Ready() && !d.engine.draining.Load() }
+func (d *Daemon) Ready() bool {
+	return d.syncer.Ready() && d.engine.plan.Load() != nil && !d.engine.draining.Load()
+}
 
 // Drain implements adminhttp.Operator.
 func (d *Daemon) Drain(actor string) {
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -18,7 +18,7 @@
 
 const (
 	// maxAttempts bounds the attempts of one sub-request, hedges included.
-	maxAttempts = 3
+	maxAttempts = 4
 	// answerMargin is kept free before the deadline to merge and send a
 	// partial answer.
 	answerMargin = 3 * time.Millisecond
@@ -70,6 +70,8 @@
 	canary int
 	// trial is the sub-request that runs under the verdict Alone, or -1.
 	trial int
+	// trials counts the shards on which the query tried to run alone.
+	trials int
 	// avoid lists targets that crashed with the request.
 	avoid []string
 	// held lists sub-requests that wait for the end of the trial.
@@ -79,12 +81,17 @@
 
 // subRequest is the search of one shard.
 type subRequest struct {
-	shard       int
-	started     time.Time
-	tried       []string
+	shard   int
+	started time.Time
+	// tried lists targets that get no further attempt.
+	tried []string
+	// attempts counts the attempts, and outstanding those without a result.
+	attempts    int
 	outstanding int
-	launched    bool
-	resolved    bool
+	// fresh is set when the next attempt needs a new connection.
+	fresh    bool
+	launched bool
+	resolved bool
 	// hedgeAt is the time of the next hedge decision, zero for none.
 	hedgeAt  time.Time
 	repeated bool // An earlier hedge decision refused.
@@ -96,8 +103,10 @@
 	round  int
 	sub    int
 	target string
-	reply  *targetapi.SearchReply
-	err    error
+	// fresh asks for a connection that was never used.
+	fresh bool
+	reply *targetapi.SearchReply
+	err   error
 	// fingerprint and alone describe the attempt to the crash guard.
 	fingerprint quarantine.Fingerprint
 	alone       bool
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -30,6 +30,7 @@
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
 
 const (
@@ -440,9 +441,26 @@
 			c.t.Errorf("%s: the coverage is not complete: %+v", query, r.answer.Coverage)
 		}
 	}
+	c.checkHits(query, r)
+}
+
+// checkHits compares the hits with those that the searched shards hold at the
+// snapshot of the answer. A foreign, lost, doubled or mixed hit shows here.
+func (c *cluster) checkHits(query string, r result) {
+	c.t.Helper()
+	want := map[string]int{}
+	for _, shard := range r.answer.Coverage.Searched {
+		id := targetapi.Identity{Workspace: "asan-toolroom", Service: r.answer.Service, Shard: shard, Snapshot: r.answer.Snapshot}
+		for _, h := range target.Hits(id, query) {
+			want[h.ID]++
+		}
+	}
 	for _, h := range r.answer.Results {
-		if !shards[h.Shard] {
-			c.t.Errorf("%s: a hit names shard %d", query, h.Shard)
+		want[h.ID]--
+	}
+	for id, n := range want {
+		if n != 0 {
+			c.t.Errorf("%s: hit %s is missing (%d) or foreign", query, id, n)
 		}
 	}
 }
--- /dev/null
+++ b/test/e2e/targets_test.go
@@ -0,0 +1,196 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamstall/balsamstall/internal/standin/target"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// leavingBound is the time after which a leaving target gets no new work.
+const leavingBound = 3 * time.Second
+
+// load sends searches from several workers until the returned function is
+// called, which checks every answer.
+func (c *cluster) load(workers int, each func(query string, r result)) (stop func()) {
+	var wg sync.WaitGroup
+	done := make(chan struct{})
+	for w := range workers {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				query := fmt.Sprintf("load %d %d", w, n)
+				r := c.search(c.entries[(w+n)%len(c.entries)], quote(query))
+				c.checkAnswer(query, r)
+				each(query, r)
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+// Guards P6: a target that the host list names as leaving, or that says so
+// itself, gets no new work after a few seconds, from any entry.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	for _, signal := range []string{"host list", "refusal"} {
+		t.Run(signal, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, options{entries: 3, targets: 4, shards: 8, serviceMS: 2})
+			stop := c.load(6, func(string, result) {})
+			defer stop()
+			leaving := c.targets[0]
+			c.eventually("the target works", func() bool { return leaving.Counters().Started > 20 })
+			if signal == "host list" {
+				c.platform.SetHosts([]platformapi.Host{{
+					ID: leaving.ID(), Kind: platformapi.KindTarget, Zone: "az-1", Address: leaving.Addr(), State: platformapi.HostLeaving,
+				}})
+			} else {
+				is.NoErr(leaving.Apply(target.Command{Fault: target.FaultDrain}))
+			}
+			time.Sleep(leavingBound)
+			before := leaving.Counters()
+			time.Sleep(2 * time.Second)
+			after := leaving.Counters()
+			is.Equal(after.Started, before.Started)
+			is.Equal(after.Refused["draining"], before.Refused["draining"])
+		})
+	}
+}
+
+// Guards F7: a request that crashes each target that runs it, sent again and
+// again to all entries, takes down two targets and no innocent request.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, options{entries: 3, targets: 6, shards: 12, serviceMS: 2})
+	for _, tg := range c.targets {
+		is.NoErr(tg.Apply(target.Command{Fault: target.FaultCrash, Query: "poison", RestartMS: 60_000}))
+	}
+	var mu sync.Mutex
+	refused := 0
+	stop := c.load(4, func(query string, r result) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.err != nil || r.status != http.StatusOK {
+			refused++
+			t.Logf("%s: status %d, error %v, %+v", query, r.status, r.err, r.fault)
+		}
+	})
+	for n := range 12 {
+		r := c.search(c.entries[n%3], quote("poison"))
+		is.NoErr(r.err)
+		is.True(r.status != http.StatusOK)
+		time.Sleep(100 * time.Millisecond)
+	}
+	stop()
+	crashes := int64(0)
+	for _, tg := range c.targets {
+		crashes += tg.Counters().Crashes
+	}
+	is.True(crashes <= 2)
+	is.Equal(refused, 0)
+	is.Equal(c.search(c.entries[0], quote("poison")).fault.Code, status.Quarantined)
+}
+
+// Guards F8: when half of the open connections go silent, every search is
+// answered in full and no target is blamed.
+func TestSilentConnectionsLoseNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	var mu sync.Mutex
+	lost := 0
+	stop := c.load(8, func(query string, r result) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.err != nil || r.status != http.StatusOK || r.answer.Coverage.Ratio < 1 {
+			lost++
+			t.Logf("%s: status %d, error %v, %+v, %+v", query, r.status, r.err, r.fault, r.answer.Coverage)
+		}
+	})
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		for _, tg := range c.targets {
+			tg.Silence(0.5)
+		}
+	}
+	time.Sleep(time.Second)
+	stop()
+	is.Equal(lost, 0)
+}
+
+// Guards P1 and P2 under F3: index versions come and go and shards are
+// repartitioned while searches run. Answers are never mixed.
+func TestRepartitionUnderLoad(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	var mu sync.Mutex
+	failed := 0
+	stop := c.load(6, func(query string, r result) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.err != nil || r.status != http.StatusOK {
+			failed++
+			t.Logf("%s: status %d, error %v, %+v", query, r.status, r.err, r.fault)
+			return
+		}
+		for _, run := range c.runs(query) {
+			if run.RequestID != r.answer.RequestID {
+				t.Errorf("%s: a run names request %s", query, run.RequestID)
+			}
+		}
+	})
+	for version := uint64(2); version <= 6; version++ {
+		shards := 6 + int(version)
+		_, d := c.documents(version, shards)
+		offered := []ids.Snapshot{{IndexVersion: version, ShardMapEpoch: version}, {IndexVersion: version - 1, ShardMapEpoch: version - 1}}
+		if version == 2 {
+			offered[1] = ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1}
+		}
+		for i := range d.Services {
+			d.Services[i].Snapshots[0] = c.snapshot(version, version, shards)
+		}
+		for _, tg := range c.targets {
+			tg.SetSnapshots("quote-desk-1", offered)
+		}
+		c.publish(platformapi.IndexKey, d)
+		time.Sleep(400 * time.Millisecond)
+	}
+	stop()
+	is.Equal(failed, 0)
+}
+
+// Guards P3: targets that send crossed, duplicated, forged, late and faulty
+// replies never get a foreign hit into an answer, and searches go on.
+func TestWrongRepliesNeverReachACaller(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	for n, kind := range []target.Kind{target.KindCrossed, target.KindForgedHits, target.KindWrongSnapshot, target.KindLateDuplicate} {
+		is.NoErr(c.targets[n].Apply(target.Command{Fault: target.FaultWrongReply, Kind: kind, Fraction: 0.2}))
+	}
+	var mu sync.Mutex
+	answered := 0
+	stop := c.load(6, func(_ string, r result) {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.err == nil && r.status == http.StatusOK {
+			answered++
+		}
+	})
+	time.Sleep(2 * time.Second)
+	stop()
+	is.True(answered > 0)
+}
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -83,18 +83,20 @@
 		}
 		if p.open < p.limit {
 			wait, ok := p.reserve(fresh)
-			if !ok {
-				p.mu.Unlock()
-				return nil, status.New(status.ConnectionFailed, status.NotRun, "dials to target %s are backing off", p.address)
-			}
-			p.open++
-			if wait == 0 {
+			switch {
+			case ok && wait == 0:
+				p.open++
 				p.mu.Unlock()
 				return p.connect(ctx)
+			case ok:
+				// The connection goes to the first waiter, which may get another
+				// one before.
+				p.open++
+				time.AfterFunc(wait, p.connectIdle)
+			case p.open == 0:
+				p.mu.Unlock()
+				return nil, status.New(status.ConnectionFailed, status.NotRun, "dials to target %s are backing off", p.address)
 			}
-			// The connection goes to the first waiter, which may get another
-			// one before.
-			time.AfterFunc(wait, p.connectIdle)
 		}
 		ready := make(chan *conn, 1)
 		p.waiters = append(p.waiters, ready)
@@ -276,6 +278,7 @@
 func (p *pool) setLimit(n int) {
 	p.mu.Lock()
 	p.limit = max(n, 1)
+	p.pacer.SetRate(max(float64(p.limit), connshare.DefaultSettings().DialsPerSecond), max(p.limit/2, connshare.DefaultSettings().Burst))
 	var surplus []*conn
 	for p.open > p.limit && len(p.idle) > 0 {
 		surplus = append(surplus, p.idle[0])
