Add the configuration sync between entries and the platform

An entry watches or polls the platform, exchanges digests with peers, pushes at acceptance and fetches deltas, and asks its peers before the platform when it starts.

--- a/coordination/delta/document.go
+++ b/coordination/delta/document.go
@@ -17,6 +17,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strconv"
 
 	"github.com/balsamstall/balsamstall/coordination/revision"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -154,3 +155,14 @@
 	}
 	return pos
 }
+
+// Number returns the value of the top-level field with the given name if it is
+// a decimal number from 0, and false otherwise.
+func (d *Document) Number(name string) (uint64, bool) {
+	f := d.find([]byte(`"` + name + `"`))
+	if f == nil || f.array {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(string(f.value), 10, 64)
+	return n, err == nil
+}
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -155,8 +155,9 @@
 // Self returns the own entry.
 func (t *Table) Self() Entry { return t.self }
 
-// Hint replaces the entries that a source names. Draining of a hint is taken
-// over for entries that were never heard only.
+// Hint replaces the entries that a source names. What a hint says about an
+// entry counts until the entry is heard; the settings count more than the host
+// list, which lags.
 func (t *Table) Hint(source Source, entries []Entry) {
 	for _, m := range t.order {
 		m.sources &^= source
@@ -167,7 +168,7 @@
 			continue
 		}
 		m.sources |= source
-		if m.heard.IsZero() {
+		if m.heard.IsZero() && (source == FromSettings || m.sources&FromSettings == 0) {
 			m.Zone, m.Address, m.Draining, m.score = e.Zone, e.Address, e.Draining, Score(e.Zone, e.ID)
 		}
 	}
--- /dev/null
+++ b/internal/configsync/accept.go
@@ -0,0 +1,142 @@
+package configsync
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/delta"
+	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/state/documents"
+)
+
+// maxRefusals bounds the refusals that are remembered. They keep a faulty
+// document from being fetched, decoded and reported again at every exchange.
+const maxRefusals = 256
+
+// refusals remembers which refused versions were reported.
+type refusals struct {
+	mu sync.Mutex
+	// seen is guarded by mu.
+	seen map[refusal]bool
+}
+
+type refusal struct {
+	key     string
+	version revision.Version
+	faulty  bool
+}
+
+// add records r and reports whether it is new. A full table starts again, so a
+// refusal may be reported more than once.
+func (r *refusals) add(entry refusal) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seen[entry] {
+		return false
+	}
+	if r.seen == nil || len(r.seen) >= maxRefusals {
+		r.seen = make(map[refusal]bool)
+	}
+	r.seen[entry] = true
+	return true
+}
+
+func (r *refusals) has(entry refusal) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen[entry]
+}
+
+// accept decides about a document from actor and puts it in force or refuses it
+// as a whole.
+func (s *Syncer) accept(key string, content *delta.Document, actor string) revision.Decision {
+	rev, _ := content.Number("revision")
+	candidate := revision.Version{Revision: rev, Digest: content.Digest()}
+	if s.refusals.has(refusal{key, candidate, true}) {
+		return revision.Faulty
+	}
+	before := s.store.Version(key)
+	decision := revision.Decide(before, candidate, true)
+	var fault error
+	switch decision {
+	case revision.Accept:
+		var value any
+		if value, fault = s.parse(key, content, rev); fault != nil {
+			decision = revision.Faulty
+			break
+		}
+		decision = s.store.Replace(key, &documents.Document{Version: candidate, Content: content, Value: value})
+	case revision.Faulty:
+		fault = status.New(status.InvalidArgument, "", "revision is not a number from 1")
+	}
+	s.record(key, candidate, decision, actor, fault)
+	if decision == revision.Accept {
+		s.updateView()
+	}
+	return decision
+}
+
+// refuseData reports data from actor that is no document at all.
+func (s *Syncer) refuseData(key string, data []byte, actor string, fault error) {
+	version := revision.Version{Digest: revision.DigestOf(data)}
+	s.record(key, version, revision.Faulty, actor, fault)
+}
+
+// parse validates a whole document.
+func (s *Syncer) parse(key string, content *delta.Document, rev uint64) (any, error) {
+	var value any
+	var parsed uint64
+	switch key {
+	case platformapi.SheetKey:
+		doc, err := s.deps.ParseSheet(content.Bytes())
+		if err != nil {
+			return nil, err
+		}
+		value, parsed = doc, doc.Revision
+	case platformapi.IndexKey:
+		doc, err := s.deps.ParseIndex(content.Bytes())
+		if err != nil {
+			return nil, err
+		}
+		value, parsed = doc, doc.Revision
+	}
+	// encoding/json also takes names in another case and the last of several
+	// fields with one name.
+	if parsed != rev {
+		return nil, status.New(status.InvalidArgument, "", "revision is ambiguous: %d or %d", rev, parsed)
+	}
+	return value, nil
+}
+
+// record writes the audit event of a decision, once for each refused version.
+func (s *Syncer) record(key string, v revision.Version, decision revision.Decision, actor string, fault error) {
+	detail := fmt.Sprintf("%s revision %d digest %s: %s", key, v.Revision, v.Digest, decision)
+	if fault != nil {
+		detail += ": " + fault.Error()
+	}
+	switch decision {
+	case revision.Accept:
+		s.deps.Audit.Record(time.Now(), audit.DocumentAccepted, actor, detail)
+	case revision.Conflict:
+		s.recordConflict(key, v, actor)
+	case revision.TooOld, revision.Faulty:
+		if s.refusals.add(refusal{key, v, decision == revision.Faulty}) {
+			s.deps.Audit.Record(time.Now(), audit.DocumentRefused, actor, detail)
+		}
+	}
+}
+
+// recordConflict reports that actor has another document of the revision in
+// force. Operators must publish a higher revision.
+func (s *Syncer) recordConflict(key string, v revision.Version, actor string) {
+	if !s.refusals.add(refusal{key, v, false}) {
+		return
+	}
+	detail := fmt.Sprintf("%s revision %d has digest %s at %s and %s here: publish a higher revision",
+		key, v.Revision, v.Digest, actor, s.store.Version(key).Digest)
+	s.deps.Audit.Record(time.Now(), audit.RevisionConflict, actor, detail)
+}
--- /dev/null
+++ b/internal/configsync/config.go
@@ -0,0 +1,167 @@
+// Package configsync keeps the sheet and the index of an entry up to date. It
+// reads and watches the platform, exchanges digests with peers and fetches
+// newer documents from whoever has them. What is in force never goes back.
+//
+// It also carries the short-lived facts of the engine (quarantines, crashes,
+// leaving targets, successions) in the exchanges with peers.
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/state/audit"
+)
+
+// Defaults of Config.
+const (
+	DefaultPushFanout       = 3
+	DefaultPollInterval     = 30 * time.Second
+	DefaultHostInterval     = 2 * time.Second
+	DefaultWatchWait        = 10 * time.Second
+	DefaultCallTimeout      = time.Second
+	DefaultStartupTimeout   = 3 * time.Second
+	defaultExchangeInterval = membership.DefaultInterval
+)
+
+// Config holds the settings of a Syncer. Zero values select the defaults.
+type Config struct {
+	// Entry is the id of this entry, Zone its availability zone and Address
+	// where it serves peers, as IP:port.
+	Entry, Zone, Address string
+	Incarnation          ids.Incarnation
+	// Peers are the other entries that are known at start.
+	Peers []Peer
+	// WatchersPerZone is the number of entries per zone that watch the
+	// platform. The default is 2.
+	WatchersPerZone int
+	// PushFanout is the number of peers that are told at once of a new
+	// document. The default is 3; a negative number turns it off.
+	PushFanout int
+	// ExchangeInterval is the interval of exchanges with a random peer. The
+	// default is 500 ms. Each pause varies by a tenth.
+	ExchangeInterval time.Duration
+	// PollInterval is the interval at which an entry that does not watch reads
+	// the platform. The default is 30 s. Each pause varies by a fifth.
+	PollInterval time.Duration
+	// HostInterval is the interval at which a watcher reads the host list. The
+	// default is 2 s; other entries read it every PollInterval.
+	HostInterval time.Duration
+	// WatchWait is the longest time that a watch waits at the platform. The
+	// default is 10 s.
+	WatchWait time.Duration
+	// CallTimeout bounds a call to a peer. The default is 1 s.
+	CallTimeout time.Duration
+	// StartupTimeout bounds Refresh, with which a starting entry asks its peers
+	// before it reads the platform. The default is 3 s.
+	StartupTimeout time.Duration
+	// MemberExpiry is the age at which a peer stops counting as alive. The
+	// default is 3 s; see membership.Settings.
+	MemberExpiry time.Duration
+}
+
+// Peer is an entry that is known at start.
+type Peer struct{ Entry, Zone, Address string }
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.PushFanout, DefaultPushFanout)
+	setDefault(&c.ExchangeInterval, defaultExchangeInterval)
+	setDefault(&c.PollInterval, DefaultPollInterval)
+	setDefault(&c.HostInterval, DefaultHostInterval)
+	setDefault(&c.WatchWait, DefaultWatchWait)
+	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.StartupTimeout, DefaultStartupTimeout)
+	return c
+}
+
+func setDefault[T ~int | ~int64](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// Platform is the configuration service. platformhttp.Client implements it. Its
+// errors are *status.Error.
+type Platform interface {
+	Get(ctx context.Context, key string) (platformapi.Document, error)
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platformapi.Document, bool, error)
+	Hosts(ctx context.Context) ([]platformapi.Host, error)
+}
+
+// PeerCaller calls other entries. peerrpc.Pool implements it. Its errors are
+// *status.Error.
+type PeerCaller interface {
+	Exchange(ctx context.Context, address string, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
+	Fetch(ctx context.Context, address string, in *peerpb.FetchRequest) (*peerpb.FetchReply, error)
+}
+
+// FactSet holds short-lived facts that entries tell each other.
+type FactSet struct {
+	Quarantines []*peerpb.Quarantine
+	Crashes     []*peerpb.Crash
+	Leaving     []*peerpb.Leaving
+	Successions []*peerpb.Succession
+}
+
+// Facts is the part of the engine that has and learns facts. Its methods are
+// called by many goroutines and must not block.
+type Facts interface {
+	// Collect returns the facts that still hold, the newest of each kind first.
+	// A message carries at most 64 of each kind: the first 32 and a random
+	// choice of the others.
+	Collect() FactSet
+	// Receive takes what another entry told. A fact may come again.
+	Receive(entry string, facts FactSet)
+}
+
+// Deps holds what a Syncer works with.
+type Deps struct {
+	Platform Platform
+	Peers    PeerCaller
+	// Facts may be nil.
+	Facts Facts
+	Audit *audit.Trail
+	Log   zerolog.Logger
+	// ParseSheet and ParseIndex validate a whole document.
+	ParseSheet func([]byte) (*sheet.Sheet, error)
+	ParseIndex func([]byte) (*index.Document, error)
+	// OnChange is called with the latest view after it changed, by one
+	// goroutine. Views that follow each other quickly may be left out. It may
+	// be nil.
+	OnChange func(*View)
+	// OnHosts is called with each host list that was read. It may be nil.
+	OnHosts func([]platformapi.Host)
+}
+
+// View is what is in force at one moment. It is immutable.
+type View struct {
+	// Sheet is nil until a sheet is known.
+	Sheet       *sheet.Sheet
+	SheetDigest revision.Digest
+	// Index is nil until an index is known.
+	Index       *index.Document
+	IndexDigest revision.Digest
+}
+
+// Member is another entry.
+type Member struct {
+	Entry, Zone, Address string
+	// Incarnation is zero until the entry was heard.
+	Incarnation ids.Incarnation
+	// Alive reports whether the entry was heard within the expiry, directly or
+	// through another entry.
+	Alive bool
+	// Draining reports whether the entry is in a planned stop.
+	Draining bool
+	// Listed reports whether the settings or the host list name the entry.
+	Listed bool
+}
--- /dev/null
+++ b/internal/configsync/configsync_test.go
@@ -0,0 +1,322 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamstall/balsamstall/coordination/delta"
+	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/transport/peerrpc"
+)
+
+var fleetIDs = []string{"e0", "e1", "e2", "f0", "f1", "f2"}
+
+// startFleet runs all entries on a platform with revision 1.
+func startFleet(t *testing.T) (*world, []*entryUnderTest) {
+	w := newWorld()
+	w.publish(platformapi.SheetKey, sheetOf(1, "first"))
+	w.publish(platformapi.IndexKey, `{"revision": 1}`)
+	var fleet []*entryUnderTest
+	for _, id := range fleetIDs {
+		fleet = append(fleet, w.start(t, id, fleetIDs...))
+	}
+	allReach(t, fleet, 1)
+	return w, fleet
+}
+
+func allReach(t *testing.T, fleet []*entryUnderTest, revision uint64) {
+	t.Helper()
+	for _, e := range fleet {
+		eventually(t, fmt.Sprintf("entry %s has sheet %d and is ready", e.id, revision), func() bool {
+			return e.revision() == revision && e.Ready()
+		})
+	}
+}
+
+// Guards against an entry that misses or reverts a revision because its own way
+// to the platform is down, stale, over its limit or cut, or because it restarts
+// meanwhile.
+func TestHighestValidRevisionWinsEverywhere(t *testing.T) {
+	is := is.New(t)
+	w, fleet := startFleet(t)
+	w.freeze("e2")
+	w.freeze("f2")
+	w.fail("e1", status.New(status.Unavailable, "", "platform is down"))
+	w.fail("f0", status.New(status.RateLimited, "", "too many calls").WithRetryAfter(time.Second))
+	w.setCut("f1", "e0", true)
+
+	w.publish(platformapi.SheetKey, sheetOf(2, "second"))
+	allReach(t, fleet, 2)
+
+	w.publish(platformapi.SheetKey, sheetOf(9, "faulty"))
+	eventually(t, "a faulty sheet is refused", func() bool { return fleet[0].recorded(audit.DocumentRefused) > 0 })
+	for _, e := range fleet {
+		is.Equal(e.revision(), uint64(2))
+	}
+
+	w.stop(fleet[5])
+	fleet[5] = w.start(t, "f2", fleetIDs...) // Its platform still shows revision 1.
+	eventually(t, "the restarted entry is ready", fleet[5].Ready)
+	is.Equal(fleet[5].revision(), uint64(2))
+
+	w.publish(platformapi.SheetKey, sheetOf(3, "third"))
+	allReach(t, fleet, 3)
+	w.fail("e1", nil)
+	w.fail("f0", nil)
+	w.publish(platformapi.SheetKey, sheetOf(4, "fourth"))
+	allReach(t, fleet, 4)
+}
+
+// Guards against one of two publishers that used the same revision winning
+// unnoticed, and against the conflict outliving the next revision.
+func TestTwoPublishersWithOneRevision(t *testing.T) {
+	w, fleet := startFleet(t)
+	for _, a := range fleet[:3] {
+		for _, b := range fleet[3:] {
+			w.setCut(a.id, b.id, true)
+		}
+	}
+	for _, e := range fleet[3:] {
+		w.fail(e.id, status.New(status.Unavailable, "", "partition"))
+	}
+	w.publish(platformapi.SheetKey, sheetOf(2, "one"))
+	allReach(t, fleet[:3], 2)
+	for _, e := range fleet[:3] {
+		w.fail(e.id, status.New(status.Unavailable, "", "partition"))
+	}
+	w.publish(platformapi.SheetKey, sheetOf(2, "two"))
+	for _, e := range fleet[3:] {
+		w.fail(e.id, nil)
+	}
+	allReach(t, fleet[3:], 2)
+	for _, a := range fleet {
+		for _, b := range fleet {
+			w.setCut(a.id, b.id, false)
+		}
+	}
+	for _, e := range fleet {
+		eventually(t, "the conflict is recorded at "+e.id, func() bool { return e.recorded(audit.RevisionConflict) > 0 })
+	}
+	for i, e := range fleet {
+		is.New(t).Equal(e.Current().Sheet.Date, []string{"one", "two"}[i/3]) // Neither side changed.
+	}
+	w.publish(platformapi.SheetKey, sheetOf(3, "resolved"))
+	allReach(t, fleet, 3)
+}
+
+// Guards against a platform whose version counter starts again, as after a
+// restart of the platform, being ignored for good. No call fails meanwhile.
+func TestPlatformCounterStartsAgain(t *testing.T) {
+	w := newWorld()
+	for i := range 5 {
+		w.publish(platformapi.SheetKey, sheetOf(i+1, "before"))
+	}
+	e := w.start(t, "e0")
+	eventually(t, "sheet 5 is in force", func() bool { return e.revision() == 5 })
+	w.mu.Lock()
+	delete(w.documents, platformapi.SheetKey)
+	w.mu.Unlock()
+	w.publish(platformapi.SheetKey, sheetOf(6, "after")) // Version 1 again.
+	eventually(t, "sheet 6 is in force", func() bool { return e.revision() == 6 })
+}
+
+// Guards against a document that is refused because a delta came damaged.
+func TestDamagedDeltaIsFollowedByTheWhole(t *testing.T) {
+	w, fleet := startFleet(t)
+	deltas := 0
+	w.mu.Lock()
+	w.damage = func(reply *peerpb.FetchReply) {
+		if len(reply.Delta) > 0 {
+			deltas++
+			reply.Delta[len(reply.Delta)-1] ^= 1
+		}
+	}
+	w.mu.Unlock()
+	for _, e := range fleet[1:] {
+		w.fail(e.id, status.New(status.Unavailable, "", "platform is down"))
+	}
+	w.publish(platformapi.SheetKey, sheetOf(2, "second"))
+	allReach(t, fleet, 2)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	is.New(t).True(deltas > 0)
+}
+
+// Guards against a change that moves the whole sheet, and against an entry of an
+// earlier version that cannot read the reply.
+func TestFetchSendsWhatTheCallerCanUse(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Entry: "e0"}, Deps{Audit: audit.New(zerolog.Nop()), ParseSheet: parseSheet, ParseIndex: parseIndex})
+	_, err := s.HandleFetch(context.Background(), &peerpb.FetchRequest{Key: platformapi.SheetKey})
+	is.Equal(status.CodeOf(err), status.NotFound)
+	var services []string
+	for i := range 1000 {
+		services = append(services, fmt.Sprintf(`{"name":"service-%d"}`, i))
+	}
+	contents := make([]*delta.Document, 2)
+	for i := range contents {
+		contents[i], err = delta.New(fmt.Appendf(nil, `{"revision":%d,"services":[%s]}`, i+1, strings.Join(services, ",")))
+		is.NoErr(err)
+		services[500] = `{"name":"changed"}`
+		s.accept(platformapi.SheetKey, contents[i], "platform")
+	}
+	base := contents[0].Digest()
+	fetch := func(in *peerpb.FetchRequest) *peerpb.FetchReply {
+		in.Key = platformapi.SheetKey
+		reply, err := s.HandleFetch(context.Background(), in)
+		is.NoErr(err)
+		return reply
+	}
+	reply := fetch(&peerpb.FetchRequest{HaveRevision: 1, HaveDigest: base[:], AcceptCompressed: true})
+	is.True(len(reply.Delta) > 0 && len(reply.Delta) < 200 && !reply.Compressed)
+	reply = fetch(&peerpb.FetchRequest{HaveRevision: 1, HaveDigest: make([]byte, 32), AcceptCompressed: true})
+	is.True(reply.Compressed && len(reply.Delta) == 0 && len(reply.Value) < len(contents[1].Bytes())/2)
+	content, err := decodeTransfer(nil, reply)
+	is.NoErr(err)
+	is.Equal(content.Digest(), contents[1].Digest())
+	is.Equal(fetch(&peerpb.FetchRequest{}).Value, contents[1].Bytes())
+}
+
+// Guards against a compressed reply that fills the memory.
+func TestExpandingTransferIsRefused(t *testing.T) {
+	_, err := decodeTransfer(nil, &peerpb.FetchReply{Value: deflate(make([]byte, 2*maxTransferBytes)), Compressed: true})
+	is.New(t).Equal(status.CodeOf(err), status.TooLarge)
+}
+
+// Guards against entries that fail together and come back together, and against
+// an entry that comes back before the time that the platform stated.
+func TestBackoffSpreadsAndKeepsTheStatedTime(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for failures := 1; failures < 100; failures++ {
+		pause := backoff(rng, failures, 0)
+		is.True(pause >= firstBackoff/2 && pause <= maxBackoff)
+		is.True(failures < backoffDoublings+1 || pause >= maxBackoff/2)
+		stated := backoff(rng, failures, 4*time.Second)
+		is.True(stated >= 4*time.Second && stated <= 6*time.Second)
+	}
+	first, second := backoff(rng, 9, 0), backoff(rng, 9, 0)
+	is.True(first != second)
+}
+
+// recorder is an engine that knows one fact and records what it is told.
+type recorder struct {
+	own  FactSet
+	told chan FactSet
+}
+
+func (r *recorder) Collect() FactSet { return r.own }
+func (r *recorder) Receive(_ string, f FactSet) {
+	select {
+	case r.told <- f:
+	default:
+	}
+}
+
+// Guards against a break between Syncer, pool and server: documents, members
+// and facts pass over real connections, and nothing is left running.
+func TestTwoEntriesOverTheWire(t *testing.T) {
+	is := is.New(t)
+	key := []byte("0123456789abcdef0123456789abcdef")
+	w := newWorld()
+	w.publish(platformapi.SheetKey, sheetOf(1, "first"))
+	w.publish(platformapi.IndexKey, `{"revision": 1}`)
+	w.fail("b", status.New(status.Unavailable, "", "platform is down"))
+	ctx, cancel := context.WithCancel(context.Background())
+	var syncers []*Syncer
+	var stopped []chan struct{}
+	engines := []*recorder{{told: make(chan FactSet, 1)}, {told: make(chan FactSet, 1)}}
+	engines[0].own.Leaving = []*peerpb.Leaving{{Target: "t1", RemainingMs: 5000}}
+	var peers []Peer
+	for i, id := range []string{"a", "b"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		pool := peerrpc.NewPool(key, peerrpc.Options{})
+		self := Peer{id, "z", listener.Addr().String()}
+		s := New(Config{Entry: id, Zone: "z", Address: self.Address, Incarnation: ids.NewIncarnation(), Peers: peers, ExchangeInterval: 10 * time.Millisecond},
+			Deps{Platform: client{w, id}, Peers: pool, Facts: engines[i], Audit: audit.New(zerolog.Nop()), Log: zerolog.Nop(), ParseSheet: parseSheet, ParseIndex: parseIndex})
+		peers = append(peers, self)
+		syncers = append(syncers, s)
+		done := make(chan struct{}, 2)
+		stopped = append(stopped, done)
+		go func() {
+			if err := peerrpc.NewServer(key, &handlers{Syncer: s}, zerolog.Nop()).Serve(ctx, listener); err != nil {
+				t.Error(err)
+			}
+			done <- struct{}{}
+		}()
+		go func() {
+			s.Run(ctx)
+			pool.Close()
+			done <- struct{}{}
+		}()
+	}
+	eventually(t, "b is ready without the platform", syncers[1].Ready)
+	eventually(t, "a heard of b, which it did not know", func() bool {
+		members := syncers[0].Members()
+		return len(members) == 1 && members[0].Entry == "b" && members[0].Address == peers[1].Address && members[0].Alive
+	})
+	is.Equal((<-engines[1].told).Leaving[0].Target, "t1")
+	cancel()
+	for _, done := range stopped {
+		<-done
+		<-done
+	}
+}
+
+// handlers serves the parts of the protocol that belong to a Syncer.
+type handlers struct {
+	peerpb.DRPCPeerUnimplementedServer
+	*Syncer
+}
+
+func (h handlers) Exchange(ctx context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return h.HandleExchange(ctx, in)
+}
+
+func (h handlers) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return h.HandleFetch(ctx, in)
+}
+
+// BenchmarkExchange is the cost of one exchange at the peer that is called. An
+// entry calls and is called twice a second, so it moves 8 messages a second.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{9, 300, 5300} {
+		s := New(Config{Entry: "e", Zone: "z0", Address: "10.0.0.1:7000"}, Deps{Audit: audit.New(zerolog.Nop()), ParseSheet: parseSheet, ParseIndex: parseIndex})
+		for i, key := range keys {
+			content, err := delta.New([]byte(fmt.Sprintf(`{"revision":%d}`, i+1)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			s.accept(key, content, "platform")
+		}
+		for i := range n - 1 {
+			s.table.Heard(time.Now(), time.Now().Add(-time.Second), membership.Entry{ID: fmt.Sprintf("entry-%04d", i), Zone: fmt.Sprintf("z%d", i%18),
+				Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Incarnation: ids.NewIncarnation()})
+		}
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			in := s.message()
+			in.Entry = "entry-0001"
+			for b.Loop() {
+				if _, err := s.HandleExchange(context.Background(), in); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(proto.Size(in)), "message-bytes")
+		})
+	}
+}
--- /dev/null
+++ b/internal/configsync/exchange.go
@@ -0,0 +1,277 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+)
+
+const (
+	// maxFacts bounds the facts of one kind in a message. Together with the
+	// members a message stays below 10 KB.
+	maxFacts = 64
+	// newestFacts is the number of facts that every message carries; the rest
+	// of maxFacts is chosen at random from the others.
+	newestFacts = maxFacts / 2
+	// maxMembersTaken bounds the members that are read from one message.
+	maxMembersTaken = 64
+	// refreshPeers is the number of peers that Refresh asks.
+	refreshPeers = 8
+	// maxAnnounced bounds the peers that Announce calls.
+	maxAnnounced = 64
+	// jitterParts makes each pause between exchanges vary by a tenth.
+	jitterParts = 10
+)
+
+// message returns what this entry tells a peer.
+func (s *Syncer) message() *peerpb.ExchangeRequest {
+	var facts FactSet
+	if s.deps.Facts != nil {
+		facts = s.deps.Facts.Collect()
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	self := s.table.Self()
+	m := &peerpb.ExchangeRequest{
+		Entry:       self.ID,
+		Incarnation: self.Incarnation[:],
+		Zone:        self.Zone,
+		Draining:    self.Draining,
+		Address:     self.Address,
+		Quarantines: someFacts(s.rng, facts.Quarantines),
+		Crashes:     someFacts(s.rng, facts.Crashes),
+		Leaving:     someFacts(s.rng, facts.Leaving),
+		Successions: someFacts(s.rng, facts.Successions),
+	}
+	for _, key := range keys {
+		if v := s.store.Version(key); !v.IsZero() {
+			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Revision: v.Revision, Digest: v.Digest[:]})
+		}
+	}
+	for _, k := range s.table.Sample(now, s.rng) {
+		m.Members = append(m.Members, &peerpb.Member{Entry: k.ID, Zone: k.Zone, Address: k.Address,
+			Incarnation: k.Incarnation[:], Draining: k.Draining, AgeMs: now.Sub(k.Heard).Milliseconds()})
+	}
+	return m
+}
+
+// someFacts returns at most maxFacts: the first, and a random choice of the rest.
+func someFacts[T any](rng *rand.Rand, facts []T) []T {
+	if len(facts) <= maxFacts {
+		return facts
+	}
+	chosen := make([]T, 0, maxFacts)
+	chosen = append(chosen, facts[:newestFacts]...)
+	rest := facts[newestFacts:]
+	for _, i := range rng.Perm(len(rest))[:maxFacts-newestFacts] {
+		chosen = append(chosen, rest[i])
+	}
+	return chosen
+}
+
+// told is what a peer told, in a request or a reply.
+type told interface {
+	GetEntry() string
+	GetIncarnation() []byte
+	GetZone() string
+	GetAddress() string
+	GetDraining() bool
+	GetDocuments() []*peerpb.DocumentInfo
+	GetMembers() []*peerpb.Member
+	GetQuarantines() []*peerpb.Quarantine
+	GetCrashes() []*peerpb.Crash
+	GetLeaving() []*peerpb.Leaving
+	GetSuccessions() []*peerpb.Succession
+}
+
+// learn takes over what a peer told. address is where the peer was called, or
+// empty when it called.
+func (s *Syncer) learn(m told, address string) {
+	now := time.Now()
+	sender := entryOf(m)
+	if sender.Address == "" {
+		sender.Address = address
+	}
+	s.mu.Lock()
+	s.table.Heard(now, now, sender)
+	for i, k := range m.GetMembers() {
+		if i == maxMembersTaken {
+			break
+		}
+		age := max(time.Duration(k.AgeMs)*time.Millisecond, 0)
+		s.table.Heard(now, now.Add(-age), entryOf(k))
+	}
+	s.mu.Unlock()
+	for _, d := range m.GetDocuments() {
+		s.learnDocument(sender, d)
+	}
+	if s.deps.Facts != nil {
+		facts := FactSet{Quarantines: m.GetQuarantines(), Crashes: m.GetCrashes(), Leaving: m.GetLeaving(), Successions: m.GetSuccessions()}
+		s.deps.Facts.Receive(sender.ID, facts)
+	}
+}
+
+// described is an entry in a message.
+type described interface {
+	GetEntry() string
+	GetIncarnation() []byte
+	GetZone() string
+	GetAddress() string
+	GetDraining() bool
+}
+
+func entryOf(m described) membership.Entry {
+	e := membership.Entry{ID: m.GetEntry(), Zone: m.GetZone(), Address: m.GetAddress(), Draining: m.GetDraining()}
+	if len(m.GetIncarnation()) == ids.IncarnationSize {
+		e.Incarnation = ids.Incarnation(m.GetIncarnation())
+	}
+	return e
+}
+
+// learnDocument compares a peer's version with the one in force.
+func (s *Syncer) learnDocument(sender membership.Entry, d *peerpb.DocumentInfo) {
+	queue := s.offers[d.Key]
+	digest, ok := revision.ParseDigest(d.Digest)
+	if queue == nil || !ok || sender.ID == s.cfg.Entry {
+		return
+	}
+	version := revision.Version{Revision: d.Revision, Digest: digest}
+	inForce := s.store.Version(d.Key)
+	switch {
+	case revision.Newer(inForce, version):
+		if sender.Address != "" && !s.refusals.has(refusal{d.Key, version, true}) {
+			queue.add(offer{entry: sender.ID, address: sender.Address, version: version})
+		}
+	case revision.Decide(inForce, version, true) == revision.Conflict:
+		s.recordConflict(d.Key, version, "peer "+sender.ID)
+	}
+}
+
+// HandleExchange implements peerpb.DRPCPeerServer. It does no I/O: newer
+// documents are fetched afterwards.
+func (s *Syncer) HandleExchange(_ context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	s.learn(in, "")
+	m := s.message()
+	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
+		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
+		Successions: m.Successions, Address: m.Address, Members: m.Members}, nil
+}
+
+// exchange tells a peer what this entry knows and learns what the peer knows.
+func (s *Syncer) exchange(ctx context.Context, peer membership.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	reply, err := s.deps.Peers.Exchange(ctx, peer.Address, s.message())
+	if err == nil {
+		s.learn(reply, peer.Address)
+	}
+	// Another entry may have the address by now.
+	reached := err == nil && reply.Entry == peer.ID
+	s.mu.Lock()
+	if reached {
+		s.table.Reached(peer.ID)
+	} else {
+		s.table.Failed(time.Now(), peer.ID)
+	}
+	s.mu.Unlock()
+	if !reached {
+		s.deps.Log.Debug().Err(err).Str("peer", peer.ID).Str("address", peer.Address).Msg("exchange with a peer failed")
+	}
+	return reached
+}
+
+// exchangeRounds exchanges with a random peer every interval, and with some
+// peers at once when there is news.
+func (s *Syncer) exchangeRounds(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	start := func(peer membership.Entry) {
+		select {
+		case s.calls <- struct{}{}:
+		default:
+			return // Too many peers do not answer; the next rounds go on.
+		}
+		running.Go(func() {
+			defer func() { <-s.calls }()
+			s.exchange(ctx, peer)
+		})
+	}
+	pause := time.NewTimer(0)
+	defer pause.Stop()
+	for round := 0; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.news:
+			s.mu.Lock()
+			peers := s.table.Fanout(time.Now(), s.rng, s.cfg.PushFanout)
+			s.mu.Unlock()
+			for _, peer := range peers {
+				start(peer)
+			}
+		case <-pause.C:
+			s.mu.Lock()
+			peer, ok := s.table.Peer(time.Now(), s.rng)
+			if round++; round%maintenanceRounds == 0 {
+				s.table.Expire(time.Now())
+			}
+			s.mu.Unlock()
+			if ok {
+				start(peer)
+			}
+			jitter := s.cfg.ExchangeInterval / jitterParts
+			pause.Reset(s.random(s.cfg.ExchangeInterval-jitter, s.cfg.ExchangeInterval+jitter))
+		}
+	}
+}
+
+// exchangeWith exchanges with several peers at once and returns how many
+// answered.
+func (s *Syncer) exchangeWith(ctx context.Context, peers []membership.Entry) int {
+	var running sync.WaitGroup
+	answered := make(chan struct{}, len(peers))
+	limit := make(chan struct{}, maxExchanges)
+	for _, peer := range peers {
+		limit <- struct{}{}
+		running.Go(func() {
+			defer func() { <-limit }()
+			if s.exchange(ctx, peer) {
+				answered <- struct{}{}
+			}
+		})
+	}
+	running.Wait()
+	return len(answered)
+}
+
+// Refresh asks up to 8 peers for newer documents and puts them in force. It
+// returns when they answered, or after the StartupTimeout. Run begins with it,
+// because the platform may be stale; a process that was paused calls it before
+// it goes on.
+func (s *Syncer) Refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.StartupTimeout)
+	defer cancel()
+	s.mu.Lock()
+	peers := s.table.Fanout(time.Now(), s.rng, refreshPeers)
+	s.mu.Unlock()
+	s.exchangeWith(ctx, peers)
+	for _, key := range keys {
+		s.fetchOffers(ctx, key)
+	}
+}
+
+// Announce tells all known peers, at most 64, what this entry knows and returns
+// how many answered. A planned stop uses it to tell its successor to the others.
+func (s *Syncer) Announce(ctx context.Context) int {
+	s.mu.Lock()
+	peers := s.table.Fanout(time.Now(), s.rng, maxAnnounced)
+	s.mu.Unlock()
+	return s.exchangeWith(ctx, peers)
+}
--- /dev/null
+++ b/internal/configsync/offers.go
@@ -0,0 +1,137 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/delta"
+	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/state/documents"
+)
+
+// maxOffers bounds the peers that are remembered as sources of one document.
+const maxOffers = 8
+
+// offer says that a peer has a document.
+type offer struct {
+	entry   string
+	address string
+	version revision.Version
+}
+
+// offerQueue holds the offers of newer documents of one key.
+type offerQueue struct {
+	signal chan struct{}
+	mu     sync.Mutex
+	// offers is guarded by mu.
+	offers []offer
+}
+
+// add records an offer. A peer's newer offer replaces its older one; of too many
+// offers the one with the lowest revision is dropped.
+func (q *offerQueue) add(o offer) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.offers = slices.DeleteFunc(q.offers, func(old offer) bool { return old.address == o.address })
+	q.offers = append(q.offers, o)
+	if len(q.offers) > maxOffers {
+		lowest := 0
+		for i := range q.offers {
+			if q.offers[i].version.Revision < q.offers[lowest].version.Revision {
+				lowest = i
+			}
+		}
+		q.offers = slices.Delete(q.offers, lowest, lowest+1)
+	}
+	signal(q.signal)
+}
+
+// take removes and returns the offer with the highest revision above inForce,
+// and forgets those that are no longer newer.
+func (q *offerQueue) take(inForce revision.Version) (offer, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.offers = slices.DeleteFunc(q.offers, func(o offer) bool { return !revision.Newer(inForce, o.version) })
+	if len(q.offers) == 0 {
+		return offer{}, false
+	}
+	best := 0
+	for i := range q.offers {
+		if q.offers[i].version.Revision > q.offers[best].version.Revision {
+			best = i
+		}
+	}
+	o := q.offers[best]
+	q.offers = slices.Delete(q.offers, best, best+1)
+	return o, true
+}
+
+// followOffers fetches what peers offer.
+func (s *Syncer) followOffers(ctx context.Context, key string) {
+	queue := s.offers[key]
+	for {
+		s.fetchOffers(ctx, key)
+		select {
+		case <-ctx.Done():
+			return
+		case <-queue.signal:
+		}
+	}
+}
+
+// fetchOffers fetches the newest offered document, from another peer when one
+// fails, until no offer is newer than what is in force. A peer that failed
+// offers again with its next exchange.
+func (s *Syncer) fetchOffers(ctx context.Context, key string) {
+	for ctx.Err() == nil {
+		o, ok := s.offers[key].take(s.store.Version(key))
+		if !ok {
+			return
+		}
+		if s.refusals.has(refusal{key, o.version, true}) {
+			continue
+		}
+		s.fetch(ctx, key, o)
+	}
+}
+
+// fetch gets a document from a peer. A delta that cannot be used is followed by
+// a request for the whole.
+func (s *Syncer) fetch(ctx context.Context, key string, o offer) {
+	base := s.store.Current(key)
+	in := &peerpb.FetchRequest{Key: key, AcceptCompressed: true}
+	if base != nil {
+		in.HaveRevision, in.HaveDigest = base.Version.Revision, base.Version.Digest[:]
+	}
+	content, reply, err := s.fetchOnce(ctx, o, in, base)
+	if err != nil && reply != nil && len(reply.Delta) > 0 {
+		s.deps.Log.Warn().Err(err).Str("peer", o.entry).Str("key", key).Msg("delta cannot be used; the whole document is fetched")
+		content, reply, err = s.fetchOnce(ctx, o, &peerpb.FetchRequest{Key: key, AcceptCompressed: true}, nil)
+	}
+	switch {
+	case err == nil:
+		s.accept(key, content, "peer "+o.entry)
+	case reply != nil:
+		s.refuseData(key, reply.Value, "peer "+o.entry, err)
+	case ctx.Err() == nil:
+		s.mu.Lock()
+		s.table.Failed(time.Now(), o.entry)
+		s.mu.Unlock()
+		s.deps.Log.Debug().Err(err).Str("peer", o.entry).Str("key", key).Msg("fetch from a peer failed")
+	}
+}
+
+// fetchOnce returns the decoded document. The reply is nil if none came.
+func (s *Syncer) fetchOnce(ctx context.Context, o offer, in *peerpb.FetchRequest, base *documents.Document) (*delta.Document, *peerpb.FetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
+	defer cancel()
+	reply, err := s.deps.Peers.Fetch(ctx, o.address, in)
+	if err != nil {
+		return nil, nil, err
+	}
+	content, err := decodeTransfer(base, reply)
+	return content, reply, err
+}
--- /dev/null
+++ b/internal/configsync/syncer.go
@@ -0,0 +1,198 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/state/documents"
+)
+
+// keys are the documents that are kept up to date.
+var keys = [...]string{platformapi.SheetKey, platformapi.IndexKey}
+
+const (
+	// maxExchanges bounds the calls of exchanges and pushes that run at once. A
+	// peer that does not answer holds one for CallTimeout.
+	maxExchanges = 16
+	// maintenanceRounds is the number of rounds between removals of old members.
+	maintenanceRounds = 120
+)
+
+// Syncer keeps the documents of one entry up to date. All methods are safe for
+// concurrent use.
+type Syncer struct {
+	cfg   Config
+	deps  Deps
+	store *documents.Store
+	view  atomic.Pointer[View]
+	// asked is set once the peers were asked at start.
+	asked     atomic.Bool
+	refusals  refusals
+	transfers transferCache
+	offers    map[string]*offerQueue
+	calls     chan struct{}
+	// changed and news hold at most one pending signal.
+	changed chan struct{}
+	news    chan struct{}
+
+	// viewMu serializes updates of view.
+	viewMu sync.Mutex
+
+	// mu guards table and rng.
+	mu    sync.Mutex
+	table *membership.Table
+	rng   *rand.Rand
+}
+
+// New returns a Syncer without documents. Run must be called once.
+func New(cfg Config, deps Deps) *Syncer {
+	cfg = cfg.withDefaults()
+	self := membership.Entry{ID: cfg.Entry, Zone: cfg.Zone, Address: cfg.Address, Incarnation: cfg.Incarnation}
+	s := &Syncer{
+		cfg:     cfg,
+		deps:    deps,
+		store:   documents.New(keys[:]...),
+		offers:  make(map[string]*offerQueue, len(keys)),
+		calls:   make(chan struct{}, maxExchanges),
+		changed: make(chan struct{}, 1),
+		news:    make(chan struct{}, 1),
+		table: membership.New(self, membership.Settings{
+			WatchersPerZone: cfg.WatchersPerZone,
+			Interval:        cfg.ExchangeInterval,
+			Expiry:          cfg.MemberExpiry,
+		}),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, key := range keys {
+		s.offers[key] = &offerQueue{signal: make(chan struct{}, 1)}
+	}
+	s.view.Store(&View{})
+	hints := make([]membership.Entry, len(cfg.Peers))
+	for i, p := range cfg.Peers {
+		hints[i] = membership.Entry{ID: p.Entry, Zone: p.Zone, Address: p.Address}
+	}
+	s.table.Hint(membership.FromSettings, hints)
+	return s
+}
+
+// Run works until ctx ends and returns when all its goroutines have ended.
+func (s *Syncer) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { s.notify(ctx) })
+	s.Refresh(ctx)
+	s.asked.Store(true)
+	for _, key := range keys {
+		running.Go(func() { s.followPlatform(ctx, key) })
+		running.Go(func() { s.followOffers(ctx, key) })
+	}
+	running.Go(func() { s.followHosts(ctx) })
+	running.Go(func() { s.exchangeRounds(ctx) })
+}
+
+// Current returns what is in force. It takes no lock.
+func (s *Syncer) Current() *View { return s.view.Load() }
+
+// Ready reports whether a sheet and an index are in force and the peers were
+// asked for newer ones.
+func (s *Syncer) Ready() bool {
+	v := s.view.Load()
+	return s.asked.Load() && v.Sheet != nil && v.Index != nil
+}
+
+// Members returns the other entries that are known.
+func (s *Syncer) Members() []Member {
+	s.mu.Lock()
+	known := s.table.Members(time.Now())
+	s.mu.Unlock()
+	members := make([]Member, len(known))
+	for i, m := range known {
+		members[i] = Member{Entry: m.ID, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation,
+			Alive: m.Alive, Draining: m.Draining, Listed: m.Listed}
+	}
+	return members
+}
+
+// Watching reports whether this entry has the role of a watcher of the platform.
+func (s *Syncer) Watching() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Watcher(time.Now())
+}
+
+// SetDraining tells the peers, with the next exchanges, that this entry is in a
+// planned stop, and leaves the watcher role to others.
+func (s *Syncer) SetDraining() {
+	s.mu.Lock()
+	s.table.SetDraining()
+	s.mu.Unlock()
+	s.Spread()
+}
+
+// Spread tells PushFanout peers at once of new facts or documents. It does not
+// wait.
+func (s *Syncer) Spread() { signal(s.news) }
+
+// signal leaves one pending signal in c.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// updateView shows what the store has in force.
+func (s *Syncer) updateView() {
+	s.viewMu.Lock()
+	view := &View{}
+	if doc := s.store.Current(platformapi.SheetKey); doc != nil {
+		view.Sheet, view.SheetDigest = doc.Value.(*sheet.Sheet), doc.Version.Digest
+	}
+	if doc := s.store.Current(platformapi.IndexKey); doc != nil {
+		view.Index, view.IndexDigest = doc.Value.(*index.Document), doc.Version.Digest
+	}
+	s.view.Store(view)
+	s.viewMu.Unlock()
+	signal(s.changed)
+	s.Spread()
+}
+
+// notify calls OnChange with the latest view.
+func (s *Syncer) notify(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.changed:
+			if s.deps.OnChange != nil {
+				s.deps.OnChange(s.Current())
+			}
+		}
+	}
+}
+
+// random returns a duration from lo to hi.
+func (s *Syncer) random(lo, hi time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lo + time.Duration(s.rng.Int64N(int64(max(hi-lo, 0))+1))
+}
+
+// sleep waits for d and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/configsync/transfer.go
@@ -0,0 +1,177 @@
+package configsync
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/balsamstall/balsamstall/coordination/delta"
+	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/documents"
+)
+
+const (
+	// minCompressBytes is the size below which compression saves less than it
+	// costs: a delta of one service has about 400 bytes.
+	minCompressBytes = 1024
+	// maxTransferBytes bounds a value or delta after decompression. A delta may
+	// carry all elements of a document and some framing for each.
+	maxTransferBytes = 2 * delta.MaxBytes
+	// maxTransfers bounds the encoded replies kept for one document: one for
+	// each recent base, and the whole with and without compression.
+	maxTransfers = documents.HistoryLength + 2
+)
+
+// transferCache keeps the encoded replies of the documents in force, so that a
+// document is compared and compressed once and not for each peer.
+type transferCache struct {
+	mu sync.Mutex
+	// byKey is guarded by mu.
+	byKey map[string]*transferSet
+}
+
+type transferSet struct {
+	version revision.Version
+	replies map[transferID]*transfer
+}
+
+type transferID struct {
+	base       revision.Version
+	compressed bool
+}
+
+// transfer is a reply that the first user encodes.
+type transfer struct {
+	once  sync.Once
+	reply *peerpb.FetchReply
+}
+
+func (c *transferCache) get(key string, version revision.Version, id transferID) *transfer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set := c.byKey[key]
+	if set == nil || set.version != version {
+		if c.byKey == nil {
+			c.byKey = make(map[string]*transferSet)
+		}
+		set = &transferSet{version: version, replies: make(map[transferID]*transfer)}
+		c.byKey[key] = set
+	}
+	t := set.replies[id]
+	if t == nil {
+		t = &transfer{}
+		if len(set.replies) < maxTransfers {
+			set.replies[id] = t
+		}
+	}
+	return t
+}
+
+// HandleFetch implements peerpb.DRPCPeerServer. It answers with a delta from the
+// caller's document if that is in force or recent here, else with the whole.
+func (s *Syncer) HandleFetch(_ context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	doc := s.store.Current(in.Key)
+	if doc == nil {
+		return nil, status.New(status.NotFound, "", "no document %.40q is in force", in.Key)
+	}
+	id := transferID{compressed: in.AcceptCompressed}
+	var base *documents.Document
+	if digest, ok := revision.ParseDigest(in.HaveDigest); ok {
+		if base = s.store.Find(in.Key, revision.Version{Revision: in.HaveRevision, Digest: digest}); base != nil {
+			id.base = base.Version
+		}
+	}
+	t := s.transfers.get(in.Key, doc.Version, id)
+	t.once.Do(func() { t.reply = encodeTransfer(in.Key, doc, base, id.compressed) })
+	return t.reply, nil
+}
+
+// encodeTransfer returns the reply with doc, as a delta from base if that is
+// smaller. base may be nil.
+func encodeTransfer(key string, doc, base *documents.Document, compressed bool) *peerpb.FetchReply {
+	reply := &peerpb.FetchReply{Key: key, Revision: doc.Version.Revision, Digest: doc.Version.Digest[:]}
+	payload := doc.Content.Bytes()
+	if base != nil {
+		// Marshal fails for invalid UTF-8 in strings only; a delta has none.
+		encoded, err := proto.Marshal(delta.Diff(base.Content, doc.Content))
+		if err == nil && len(encoded) < len(payload) {
+			payload = encoded
+			reply.Delta = payload
+		}
+	}
+	reply.Size = int64(len(payload))
+	if compressed && len(payload) >= minCompressBytes {
+		if small := deflate(payload); len(small) < len(payload) {
+			payload, reply.Compressed = small, true
+		}
+	}
+	if reply.Delta != nil {
+		reply.Delta = payload
+	} else {
+		reply.Value = payload
+	}
+	return reply
+}
+
+// decodeTransfer returns the document of a reply. base is the document that the
+// request named, or nil.
+func decodeTransfer(base *documents.Document, reply *peerpb.FetchReply) (*delta.Document, error) {
+	payload := reply.Value
+	if len(reply.Delta) > 0 {
+		payload = reply.Delta
+	}
+	if reply.Compressed {
+		var err error
+		if payload, err = inflate(payload); err != nil {
+			return nil, err
+		}
+	}
+	want, hasDigest := revision.ParseDigest(reply.Digest)
+	if len(reply.Delta) == 0 {
+		content, err := delta.New(payload)
+		if err == nil && hasDigest && content.Digest() != want {
+			err = status.New(status.RevisionConflict, "", "document has digest %s instead of %s", content.Digest(), want)
+		}
+		return content, err
+	}
+	if base == nil || !hasDigest {
+		return nil, status.New(status.InvalidArgument, "", "delta without a base or a digest")
+	}
+	var change peerpb.Delta
+	if err := proto.Unmarshal(payload, &change); err != nil {
+		return nil, status.Wrap(err, status.InvalidArgument, "", "delta cannot be decoded")
+	}
+	return delta.Apply(base.Content, &change, want)
+}
+
+func deflate(data []byte) []byte {
+	var out bytes.Buffer
+	// The level is valid and a Buffer takes every write, so no step can fail.
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return data
+	}
+	_, writeErr := w.Write(data)
+	if closeErr := w.Close(); writeErr != nil || closeErr != nil {
+		return data
+	}
+	return out.Bytes()
+}
+
+func inflate(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	out, err := io.ReadAll(io.LimitReader(r, maxTransferBytes+1))
+	if err != nil {
+		return nil, status.Wrap(err, status.InvalidArgument, "", "transfer cannot be decompressed")
+	}
+	if len(out) > maxTransferBytes {
+		return nil, status.New(status.TooLarge, "", "transfer has more than %d bytes", maxTransferBytes)
+	}
+	return out, nil
+}
