Test the start with a stale platform and idle silent connections

Two mutations survived: an entry that does not ask its peers at start, and a pool that keeps idle connections next to a silent one.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -81,6 +81,25 @@
 	allReach(t, fleet, 4)
 }
 
+// Guards against a starting entry that serves a stale platform's document while
+// its peers have a newer one. The rounds of exchanges are too rare to help.
+func TestStartAsksPeersBeforeThePlatform(t *testing.T) {
+	w := newWorld()
+	w.rounds = time.Hour
+	w.publish(platformapi.SheetKey, sheetOf(1, "first"))
+	w.publish(platformapi.IndexKey, `{"revision": 1}`)
+	w.freeze("e1")
+	w.publish(platformapi.SheetKey, sheetOf(5, "fifth"))
+	allReach(t, []*entryUnderTest{w.start(t, "e0")}, 5)
+	late := w.start(t, "e1", "e0")
+	eventually(t, "the late entry is ready", late.Ready)
+	for _, event := range late.trail.Events() {
+		if event.Kind == audit.DocumentAccepted {
+			is.New(t).Equal(event.Actor, "peer e0")
+		}
+	}
+}
+
 // Guards against one of two publishers that used the same revision winning
 // unnoticed, and against the conflict outliving the next revision.
 func TestTwoPublishersWithOneRevision(t *testing.T) {
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -38,11 +38,12 @@
 	entries   map[string]*entryUnderTest                 // By address, which is the id.
 	cut       map[[2]string]bool
 	damage    func(*peerpb.FetchReply)
+	rounds    time.Duration // Interval of exchanges.
 }
 
 func newWorld() *world {
 	return &world{documents: map[string]platformapi.Document{}, published: make(chan struct{}), refuse: map[string]*status.Error{},
-		old: map[string]map[string]platformapi.Document{}, entries: map[string]*entryUnderTest{}, cut: map[[2]string]bool{}}
+		old: map[string]map[string]platformapi.Document{}, entries: map[string]*entryUnderTest{}, cut: map[[2]string]bool{}, rounds: 5 * time.Millisecond}
 }
 
 // publish puts a value on the platform.
@@ -192,7 +193,7 @@
 func (w *world) start(t *testing.T, id string, peers ...string) *entryUnderTest {
 	t.Helper()
 	cfg := Config{Entry: id, Zone: "zone-" + id[len(id)-1:], Address: id, Incarnation: ids.NewIncarnation(),
-		ExchangeInterval: 5 * time.Millisecond, PollInterval: 50 * time.Millisecond, HostInterval: 50 * time.Millisecond,
+		ExchangeInterval: w.rounds, PollInterval: 50 * time.Millisecond, HostInterval: 50 * time.Millisecond,
 		WatchWait: 100 * time.Millisecond, MemberExpiry: 200 * time.Millisecond}
 	for _, p := range peers {
 		if p != id {
--- a/transport/peerrpc/peerrpc_test.go
+++ b/transport/peerrpc/peerrpc_test.go
@@ -137,23 +137,36 @@
 	is.Equal(status.From(err).Outcome, status.NotRun)
 }
 
-// Guards against a silent connection being used again, and against a call that
-// was sent being reported as not run.
+// Guards against a silent connection, or another one that is probably silent
+// too, being used again, and against a call that was sent being reported as not
+// run.
 func TestSilentConnectionIsClosedAtTheDeadline(t *testing.T) {
 	is := is.New(t)
 	h := newHandler()
 	address := start(t, h)
 	pool := NewPool(testKey, Options{})
 	defer pool.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	_, err := pool.Forward(ctx, address, &peerpb.ForwardRequest{})
+	spare, err := pool.connect(ctx, address)
+	is.NoErr(err)
+	pool.idle.Put(address, spare)
+	used, err := pool.connect(ctx, address) // Takes the spare one.
+	is.NoErr(err)
+	is.Equal(used, spare)
+	other, err := pool.connect(ctx, address)
+	is.NoErr(err)
+	pool.idle.Put(address, spare)
+	pool.idle.Put(address, other)
+	late, cancelLate := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancelLate()
+	_, err = pool.Forward(late, address, &peerpb.ForwardRequest{})
 	is.Equal(status.From(err).Code, status.DeadlineExceeded)
 	is.Equal(status.From(err).Outcome, status.Unknown)
-	_, left := pool.idle.Take(address)
-	is.True(!left)
+	<-spare.Closed()
+	<-other.Closed()
 	close(h.release)
-	_, err = pool.Forward(context.Background(), address, &peerpb.ForwardRequest{})
+	_, err = pool.Forward(ctx, address, &peerpb.ForwardRequest{})
 	is.NoErr(err)
 }
 
