--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -20,10 +20,11 @@
 	// minCallGap bounds the rate of calls for one key when a platform answers
 	// watches at once without news.
 	minCallGap = time.Second
-	// wholePolls is one in how many polls reads the whole document, to notice a
-	// platform whose version counter went back. A poll that asks for newer
-	// versions only does not transfer an unchanged document.
-	wholePolls = 20
+	// wholeReadBytesPerSecond bounds the traffic of reads whatever the version.
+	// They notice a platform whose version counter went back; a watch for newer
+	// versions does not. A document of 60 KB is read whole every 30 s, one of
+	// 1 MB every 8 min.
+	wholeReadBytesPerSecond = 2000
 	// pollJitterParts makes each pause between polls vary by a fifth.
 	pollJitterParts = 5
 )
@@ -48,16 +49,19 @@
 	// whole is set when the next call reads the document whatever its version.
 	whole    bool
 	failures int
-	polls    int
 	nextPoll time.Time
+	// nextWhole is when the next whole read is due.
+	nextWhole time.Time
 }
 
 // followPlatform watches a key while this entry is a watcher, and polls it
-// otherwise.
+// otherwise. A poll is a watch that does not wait, so an unchanged document is
+// not transferred.
 func (s *Syncer) followPlatform(ctx context.Context, key string) {
 	f := &follower{key: key, whole: true}
 	for ctx.Err() == nil {
 		watching := s.Watching()
+		f.whole = f.whole || time.Now().After(f.nextWhole)
 		if !f.whole && !watching && time.Now().Before(f.nextPoll) {
 			sleep(ctx, min(time.Until(f.nextPoll), s.cfg.ExchangeInterval))
 			continue
@@ -74,7 +78,7 @@
 		f.failures = 0
 		f.nextPoll = time.Now().Add(s.pollPause())
 		if !changed {
-			sleep(ctx, minCallGap-time.Since(began))
+			sleep(ctx, min(minCallGap, s.cfg.WatchWait)-time.Since(began))
 		}
 	}
 }
@@ -82,9 +86,8 @@
 // readPlatform makes one call and decides about the document that it returns.
 func (s *Syncer) readPlatform(ctx context.Context, f *follower, watching bool) (changed bool, err error) {
 	var doc platformapi.Document
-	f.polls++
 	switch {
-	case f.whole, !watching && f.polls%wholePolls == 0:
+	case f.whole:
 		doc, err = s.deps.Platform.Get(ctx, f.key)
 		changed = doc.Version != f.after
 	case watching:
@@ -96,6 +99,10 @@
 		return false, err
 	}
 	changed = changed && doc.Version != f.after
+	if f.whole {
+		pause := time.Duration(len(doc.Value)) * time.Second / wholeReadBytesPerSecond
+		f.nextWhole = time.Now().Add(max(pause, s.pollPause()))
+	}
 	f.after, f.whole = doc.Version, false
 	content, err := delta.New(doc.Value)
 	if err != nil {
