Compare the median latency with the median without load in admission

Cause: the baseline followed the fastest answers. In a simulation of a crest the limit fell from 128 to its minimum of 16 at half load, because the median of a lognormal latency is more than twice its fastest values. Change: the baseline is the lower envelope of the medians of short windows. A seeded simulation of a crest of three times the capacity is added.

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -230,3 +231,21 @@
 	is := is.New(t)
 	is.Equal(testing.AllocsPerRun(100, newRequestLoop(25)), 0.0)
 }
+
+// Guards against a limit that falls without load, because the fastest answers
+// are taken for the latency without load.
+func TestLimitKeepsUnderNaturalSpread(t *testing.T) {
+	is := is.New(t)
+	settings := DefaultSettings()
+	c, rng, now := New(settings), newRand(), time.Duration(0)
+	s := c.SetService("s", ServiceConfig{Priority: 1, MaxConcurrency: 100})
+	for range 100_000 {
+		ticket := &Ticket{}
+		is.Equal(c.Offer(now, rng, s, now+time.Hour, ticket).Verdict, Admit)
+		now += time.Duration(float64(10*ms) * math.Exp(0.5*rng.NormFloat64()))
+		c.Release(now, ticket, Finished)
+	}
+	is.Equal(c.Limit(), int(settings.InitialLimit))
+	is.Equal(s.Limit(), 100)
+	is.True(s.Baseline() > 7*ms && s.Baseline() < 12*ms)
+}
--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -152,7 +152,7 @@
 	latency := max(now-t.admittedAt, 0)
 	slow := result == Overloaded
 	if result == Finished {
-		slow = s.learn(&c.settings, now, latency)
+		slow = s.baseline.sample(&c.settings, now, latency)
 	}
 	s.mean = average(s.mean, latency, slow)
 	c.mean = average(c.mean, latency, slow)
@@ -173,7 +173,7 @@
 // latestStart is the last time at which the request can start and still finish
 // in the latency without load.
 func (t *Ticket) latestStart() time.Duration {
-	return t.deadline - toDuration(t.service.baseline)
+	return t.deadline - toDuration(t.service.baseline.median)
 }
 
 func (c *Controller) admit(now time.Duration, t *Ticket) Decision {
--- a/coordination/admission/service.go
+++ b/coordination/admission/service.go
@@ -2,14 +2,9 @@
 
 import "time"
 
-const (
-	// baselineGain is the part of the way that the baseline falls towards a
-	// faster sample, so that one very fast answer does not set it.
-	baselineGain = 0.1
-	// meanGain is the weight of a new sample in the mean latency. It averages
-	// over about 32 requests.
-	meanGain = 1.0 / 32
-)
+// meanGain is the weight of a new sample in the mean latency. It averages over
+// about 32 requests.
+const meanGain = 1.0 / 32
 
 // Service is the admission state of one service. Create it with
 // Controller.SetService.
@@ -20,9 +15,7 @@
 	queue   queue
 	removed bool
 
-	// baseline is the latency without load, in seconds. Zero means unknown.
-	baseline   float64
-	baselineAt time.Duration
+	baseline baseline
 	// mean is the recent mean latency in seconds. Zero means unknown.
 	mean float64
 }
@@ -36,26 +29,8 @@
 // Waiting returns the number of the service's requests that wait.
 func (s *Service) Waiting() int { return s.queue.length }
 
-// Baseline returns the latency without load, or zero when it is unknown.
-func (s *Service) Baseline() time.Duration { return toDuration(s.baseline) }
-
-// learn takes a latency sample and reports whether it is slow.
-func (s *Service) learn(settings *Settings, now, latency time.Duration) (slow bool) {
-	seconds := latency.Seconds()
-	if s.baseline == 0 {
-		s.baseline, s.baselineAt = seconds, now
-		return false
-	}
-	slow = seconds > s.baseline*settings.Tolerance
-	if seconds < s.baseline {
-		s.baseline += baselineGain * (seconds - s.baseline)
-	} else {
-		rise := settings.BaselineRise * max(now-s.baselineAt, 0).Seconds()
-		s.baseline = min(s.baseline*(1+rise), seconds)
-	}
-	s.baselineAt = now
-	return slow
-}
+// Baseline returns the median latency without load, or zero when it is unknown.
+func (s *Service) Baseline() time.Duration { return toDuration(s.baseline.median) }
 
 // average moves a mean latency in seconds towards a sample. A fast sample of a
 // request that counts as slow, such as a target's refusal, does not lower it.
--- /dev/null
+++ b/coordination/admission/sim_test.go
@@ -0,0 +1,221 @@
+package admission
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// The simulated targets run 100 requests at once, about 9,200 per second, and
+// queue the rest. They skip requests past their deadline.
+const (
+	simSlots    = 100
+	simService  = 10 * ms // median of a lognormal time
+	simSigma    = 0.4
+	simCapacity = 9_230.0 // requests per second: simSlots / (simService x exp(simSigma^2 / 2))
+	simDeadline = 250 * ms
+	simReturns  = 3 // times that a refused caller comes back
+)
+
+// Crest of demand: half of the capacity, three times the capacity, half again.
+const (
+	crestStart = 5 * time.Second
+	crestEnd   = 10 * time.Second
+	simEnd     = 15 * time.Second
+	calm       = 0.5
+	crest      = 3.0
+)
+
+var simPriorities = []int{1, 5, 5, 9, 9} // one service each, equal demand
+
+type simRequest struct {
+	ticket   Ticket
+	service  int
+	sent     time.Duration
+	returns  int
+	answered bool
+}
+
+type simEvent struct {
+	at  time.Duration
+	run func()
+}
+
+var traceHook func(*sim)
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int           { return len(q) }
+func (q simQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q simQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)        { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+type sim struct {
+	rng      *rand.Rand
+	now      time.Duration
+	events   simQueue
+	c        *Controller
+	services []*Service
+	off      bool
+	busy     int
+	backlog  []*simRequest
+
+	offered, good map[int]int // at the crest, by priority
+	latencies     []time.Duration
+	refusedAfter  time.Duration // longest time from arrival to refusal
+}
+
+func newSim(settings Settings, off bool, seed uint64) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 5)), c: New(settings), off: off, offered: map[int]int{}, good: map[int]int{}}
+	for i, p := range simPriorities {
+		s.services = append(s.services, s.c.SetService(string(rune('a'+i)), ServiceConfig{Priority: p, MaxConcurrency: 1_000, MaxQueue: 400}))
+	}
+	if traceHook != nil {
+		traceHook(s)
+	}
+	s.after(0, s.arrive)
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, run func()) { heap.Push(&s.events, simEvent{s.now + d, run}) }
+
+func (s *sim) arrive() {
+	if s.now >= simEnd {
+		return
+	}
+	rate := calm
+	if s.now >= crestStart && s.now < crestEnd {
+		rate = crest
+	}
+	s.after(time.Duration(s.rng.ExpFloat64()/(rate*simCapacity)*float64(time.Second)), s.arrive)
+	s.offer(&simRequest{service: s.rng.IntN(len(s.services))})
+}
+
+func (s *sim) offer(r *simRequest) {
+	r.sent = s.now
+	if s.atCrest(r) {
+		s.offered[simPriorities[r.service]]++
+	}
+	if s.off {
+		s.run(r)
+		return
+	}
+	r.ticket.Owner = r
+	d := s.c.Offer(s.now, s.rng, s.services[r.service], s.now+simDeadline, &r.ticket)
+	s.decide(r, d)
+	s.handOut()
+}
+
+func (s *sim) atCrest(r *simRequest) bool { return r.sent >= crestStart && r.sent < crestEnd }
+
+func (s *sim) decide(r *simRequest, d Decision) {
+	switch d.Verdict {
+	case Admit:
+		s.run(r)
+	case Wait:
+		s.after(d.WaitUntil-s.now, func() {
+			if d, ok := s.c.Expire(s.now, s.rng, &r.ticket); ok {
+				s.decide(r, d)
+			}
+		})
+	case Refuse:
+		s.refusedAfter = max(s.refusedAfter, s.now-r.sent)
+		if r.returns < simReturns {
+			again := &simRequest{service: r.service, returns: r.returns + 1}
+			s.after(d.RetryAfter, func() { s.offer(again) })
+		}
+	}
+}
+
+func (s *sim) handOut() {
+	for t, d := s.c.Next(s.now, s.rng); t != nil; t, d = s.c.Next(s.now, s.rng) {
+		s.decide(t.Owner.(*simRequest), d)
+	}
+}
+
+// run sends the request to the targets. The entry gives up at the deadline.
+func (s *sim) run(r *simRequest) {
+	s.backlog = append(s.backlog, r)
+	if !s.off {
+		s.after(r.sent+simDeadline-s.now, func() {
+			if !r.answered && s.c.Release(s.now, &r.ticket, Overloaded) {
+				s.handOut()
+			}
+		})
+	}
+	s.serve()
+}
+
+func (s *sim) serve() {
+	for s.busy < simSlots && len(s.backlog) > 0 {
+		r := s.backlog[0]
+		s.backlog = s.backlog[1:]
+		if s.now > r.sent+simDeadline {
+			continue
+		}
+		s.busy++
+		d := time.Duration(float64(simService) * math.Exp(simSigma*s.rng.NormFloat64()))
+		s.after(d, func() {
+			s.busy--
+			s.answer(r)
+			s.serve()
+		})
+	}
+}
+
+func (s *sim) answer(r *simRequest) {
+	r.answered = true
+	if s.now <= r.sent+simDeadline {
+		s.latencies = append(s.latencies, s.now-r.sent)
+		if s.atCrest(r) {
+			s.good[simPriorities[r.service]]++
+		}
+	}
+	if !s.off && s.c.Release(s.now, &r.ticket, Finished) {
+		s.handOut()
+	}
+}
+
+func BenchmarkCrest(b *testing.B) {
+	for _, off := range []bool{true, false} {
+		name := "on"
+		if off {
+			name = "off"
+		}
+		b.Run("admission="+name, func(b *testing.B) {
+			n := float64(b.N)
+			var good, p99, refused float64
+			answered := map[int]float64{}
+			for i := range b.N {
+				s := newSim(DefaultSettings(), off, uint64(i+1))
+				for _, p := range []int{1, 5, 9} {
+					good += float64(s.good[p])
+					answered[p] += 100 * float64(s.good[p]) / float64(s.offered[p])
+				}
+				slices.Sort(s.latencies)
+				p99 += float64(s.latencies[len(s.latencies)*99/100]) / float64(ms)
+				refused += float64(s.refusedAfter) / float64(ms)
+			}
+			b.ReportMetric(100*good/n/(simCapacity*(crestEnd-crestStart).Seconds()), "goodput-%")
+			b.ReportMetric(answered[1]/n, "priority1-%")
+			b.ReportMetric(answered[5]/n, "priority5-%")
+			b.ReportMetric(answered[9]/n, "priority9-%")
+			b.ReportMetric(p99/n, "p99-ms")
+			b.ReportMetric(refused/n, "refused-after-ms")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
