Bound the wait in admission and tell the entry's load from a service's

Change: a request waits at most a quarter of its time by estimate and half of it in fact; the floor bounds the estimate of low priorities; the entry's limit falls by the votes of the services, and a service's limit only when it is slow alone; the first estimate of the latency without load converges.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -31,6 +31,11 @@
 	// MinServiceLimit is the least concurrency limit of one service. The default
 	// is 4.
 	MinServiceLimit float64
+	// MaxWaitPart bounds the wait: a request is refused at arrival when the
+	// expected wait exceeds this part of the time to its deadline, and at the
+	// latest after twice this part. The default is 0.25. A longer queue adds
+	// latency and no goodput.
+	MaxWaitPart float64
 	// MaxQueue is the largest number of waiting requests of all services. The
 	// default is 1,024.
 	MaxQueue int
@@ -63,6 +68,7 @@
 		InitialLimit:    128,
 		MaxLimit:        4_096,
 		MinServiceLimit: 4,
+		MaxWaitPart:     0.25,
 		MaxQueue:        1_024,
 		Tolerance:       2,
 		Window:          100 * time.Millisecond,
@@ -167,6 +173,7 @@
 	state      ticketState
 	deadline   time.Duration
 	admittedAt time.Duration
+	waitUntil  time.Duration
 	prev, next *Ticket
 	refusal    Reason
 }
--- a/coordination/admission/baseline.go
+++ b/coordination/admission/baseline.go
@@ -6,8 +6,11 @@
 	// learnSamples is the number of samples over which the first estimate is
 	// made. During them no request counts as slow.
 	learnSamples = 100
-	// learnStep is the part by which each of them moves the estimate.
-	learnStep = 0.1
+	// firstStep and lastStep are the parts by which the first and the last of
+	// them move the estimate. The part falls with the number of samples.
+	firstStep, lastStep = 0.5, 0.01
+	// riseStep is the largest part by which a window raises the baseline.
+	riseStep = 0.1
 	// fallStep is the largest part by which a window lowers the baseline.
 	fallStep = 0.2
 )
@@ -41,16 +44,17 @@
 	return slow
 }
 
-// learn moves the estimate by a fixed part towards each sample, which ends near
-// the median.
+// learn moves the estimate by a part towards each sample, whatever its distance,
+// which ends near the median.
 func (b *baseline) learn(now time.Duration, seconds float64) {
+	step := max(firstStep/float64(b.learned+1), lastStep)
 	switch {
 	case b.median == 0:
 		b.median = seconds
 	case seconds < b.median:
-		b.median *= 1 - learnStep
+		b.median *= 1 - step
 	default:
-		b.median *= 1 + learnStep
+		b.median *= 1 + step
 	}
 	b.learned++
 	b.openedAt = now
@@ -64,7 +68,7 @@
 	if most > 0 {
 		b.median *= 1 - fallStep*most
 	} else {
-		b.median *= 1 + min(s.BaselineRise*(now-b.openedAt).Seconds(), learnStep)
+		b.median *= 1 + min(s.BaselineRise*(now-b.openedAt).Seconds(), riseStep)
 	}
 	b.samples, b.below, b.openedAt = 0, 0, now
 }
--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -14,6 +14,7 @@
 	classes  [Lowest + 1]class
 	refused  queue // decided by the controller, to be handed out by Next
 	waiting  int
+	tally    tally
 	// mean is the recent mean latency of all services in seconds.
 	mean float64
 	// refusals is the decayed number of refusals at refusedAt.
@@ -48,7 +49,11 @@
 	most := float64(max(config.MaxConcurrency, 1))
 	s := c.services[name]
 	if s == nil {
-		s = &Service{name: name, limiter: newLimiter(most, c.settings.MinServiceLimit, most)}
+		s = &Service{
+			name:    name,
+			limiter: newLimiter(most, c.settings.MinServiceLimit, most),
+			vote:    vote{part: -1},
+		}
 		c.services[name] = s
 	} else {
 		c.leaveClass(s)
@@ -95,16 +100,16 @@
 	case s.queue.length == 0 && c.limiter.room() && s.limiter.room():
 		// While the entry has room, requests wait only for their own service.
 		return c.admit(now, t)
-	case now+c.expectedWait(s) > t.latestStart():
+	case c.expectedWait(s) > c.longestWait(now, t):
 		return c.refuse(now, rng, t, DeadlineTooShort)
 	case !c.makeRoom(s):
 		return c.refuse(now, rng, t, QueueFull)
 	}
-	t.state = stateWaiting
+	t.state, t.waitUntil = stateWaiting, now+2*c.longestWait(now, t)
 	s.queue.push(t)
 	c.classes[s.config.Priority].waiting++
 	c.waiting++
-	return Decision{Verdict: Wait, WaitUntil: t.latestStart()}
+	return Decision{Verdict: Wait, WaitUntil: t.waitUntil}
 }
 
 // Next hands out one decided ticket, or nil when there is none. Call it until
@@ -119,7 +124,7 @@
 		return nil, Decision{}
 	}
 	c.removeWaiting(t)
-	if now > t.latestStart() {
+	if now > t.waitUntil {
 		return t, c.refuse(now, rng, t, DeadlineTooShort)
 	}
 	return t, c.admit(now, t)
@@ -156,8 +161,7 @@
 	}
 	s.mean = average(s.mean, latency, slow)
 	c.mean = average(c.mean, latency, slow)
-	s.limiter.sample(&c.settings, now, slow)
-	c.limiter.sample(&c.settings, now, slow)
+	c.adapt(now, s, slow)
 	return true
 }
 
@@ -170,10 +174,12 @@
 // Waiting returns the number of requests that wait.
 func (c *Controller) Waiting() int { return c.waiting }
 
-// latestStart is the last time at which the request can start and still finish
-// in the latency without load.
-func (t *Ticket) latestStart() time.Duration {
-	return t.deadline - toDuration(t.service.baseline.median)
+// longestWait is the expected wait up to which a request joins the queue. Twice
+// this wait still leaves time for the recent mean latency.
+func (c *Controller) longestWait(now time.Duration, t *Ticket) time.Duration {
+	left := t.deadline - now
+	spare := (left - toDuration(t.service.mean)) / 2
+	return max(min(time.Duration(c.settings.MaxWaitPart*float64(left)), spare), 0)
 }
 
 func (c *Controller) admit(now time.Duration, t *Ticket) Decision {
--- a/coordination/admission/limiter.go
+++ b/coordination/admission/limiter.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// slowPart is the part of slow requests above which a limit falls. At one half
+// slowPart is the part of slow requests above which a limit is too high. At one half
 // the test is whether the median latency is above Tolerance x baseline, without
 // a histogram.
 const slowPart = 0.5
@@ -38,19 +38,24 @@
 
 func (l *limiter) leave() { l.inFlight-- }
 
-// sample counts a finished request and changes the limit at the end of a window.
-// The rise per window is the square root of the limit: a limit of 100 doubles in
-// about one second, and one of 4,096 in six.
-func (l *limiter) sample(s *Settings, now time.Duration, slow bool) {
+// sample counts a finished request and reports whether the window is complete.
+func (l *limiter) sample(s *Settings, now time.Duration, slow bool) (complete bool) {
 	l.samples++
 	if slow {
 		l.slow++
 	}
-	if now-l.openedAt < s.Window || l.samples < s.MinSamples {
-		return
-	}
+	return now-l.openedAt >= s.Window && l.samples >= s.MinSamples
+}
+
+// mostSlow reports whether most requests of the window were slow.
+func (l *limiter) mostSlow() bool { return float64(l.slow) > slowPart*float64(l.samples) }
+
+// adapt changes the limit at the end of a window. The rise per window is the
+// square root of the limit: a limit of 100 doubles in about one second, and one
+// of 4,096 in six.
+func (l *limiter) adapt(s *Settings, now time.Duration, lower bool) {
 	switch {
-	case float64(l.slow) > slowPart*float64(l.samples):
+	case lower:
 		l.limit = max(l.limit*s.Decrease, l.least)
 	case float64(l.peak) >= usedPart*math.Floor(l.limit):
 		l.limit = min(l.limit+math.Sqrt(l.limit), l.most)
--- a/coordination/admission/order.go
+++ b/coordination/admission/order.go
@@ -76,7 +76,8 @@
 
 // expectedWait estimates the wait of a new request from Little's law: the
 // entry starts limit / mean latency requests per second, and the part of them
-// that higher priorities took recently is not available.
+// that higher priorities took recently is not available. The floor bounds the
+// estimate, so that a few requests of each priority always wait.
 func (c *Controller) expectedWait(s *Service) time.Duration {
 	ahead, higher, total := 1, 0.0, 0.0
 	for p := Highest; p <= Lowest; p++ {
@@ -92,12 +93,14 @@
 	if total > 0 {
 		available = max(1-higher/total, c.settings.FloorShare)
 	}
-	wait := float64(ahead) * c.mean / (c.limiter.limit * available)
+	interval := c.mean / c.limiter.limit
+	wait := float64(ahead) * interval / available
+	floor := float64(c.classes[s.config.Priority].waiting+1) * interval / c.settings.FloorShare
 	own := float64(s.queue.length+1) * s.mean / s.limiter.limit
 	if c.limiter.room() {
 		return toDuration(own)
 	}
-	return toDuration(max(wait, own))
+	return toDuration(max(min(wait, floor), own))
 }
 
 // makeRoom makes a place for a new request of s in the queue. When the entry's
--- a/coordination/admission/service.go
+++ b/coordination/admission/service.go
@@ -16,6 +16,7 @@
 	removed bool
 
 	baseline baseline
+	vote     vote
 	// mean is the recent mean latency in seconds. Zero means unknown.
 	mean float64
 }
