Shorten the queue of admission to a tenth of the time left

Cause: a wait of a quarter of the deadline gave no more goodput than a shorter one in the simulated crest, but a higher latency and later refusals. Change: MaxWaitPart is 0.1 and at least the service's mean latency is allowed.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -33,8 +33,9 @@
 	MinServiceLimit float64
 	// MaxWaitPart bounds the wait: a request is refused at arrival when the
 	// expected wait exceeds this part of the time to its deadline, and at the
-	// latest after twice this part. The default is 0.25. A longer queue adds
-	// latency and no goodput.
+	// latest after twice this part. A wait of the service's mean latency is
+	// allowed in any case, for services that run few requests at once. The
+	// default is 0.1. A longer queue adds latency and no goodput.
 	MaxWaitPart float64
 	// MaxQueue is the largest number of waiting requests of all services. The
 	// default is 1,024.
@@ -68,7 +69,7 @@
 		InitialLimit:    128,
 		MaxLimit:        4_096,
 		MinServiceLimit: 4,
-		MaxWaitPart:     0.25,
+		MaxWaitPart:     0.1,
 		MaxQueue:        1_024,
 		Tolerance:       2,
 		Window:          100 * time.Millisecond,
--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -178,8 +178,9 @@
 // this wait still leaves time for the recent mean latency.
 func (c *Controller) longestWait(now time.Duration, t *Ticket) time.Duration {
 	left := t.deadline - now
-	spare := (left - toDuration(t.service.mean)) / 2
-	return max(min(time.Duration(c.settings.MaxWaitPart*float64(left)), spare), 0)
+	mean := toDuration(t.service.mean)
+	wait := max(time.Duration(c.settings.MaxWaitPart*float64(left)), mean)
+	return max(min(wait, (left-mean)/2), 0)
 }
 
 func (c *Controller) admit(now time.Duration, t *Ticket) Decision {
