Warm the fleets up before a bench and show the load tool's own delay

Each fleet now gets a steady run whose result is dropped, and the summary shows the time from the intended to the real send.

--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -26,6 +26,9 @@
 	Duration time.Duration
 	// CrestHold is the time at the crest.
 	CrestHold time.Duration
+	// Warmup is the length of a steady run on each fleet whose result is dropped,
+	// so that no measured run meets cold targets and new connections by chance.
+	Warmup time.Duration
 	// Settle is the pause before each run.
 	Settle time.Duration
 	// MaxRequests bounds the requests of one run.
@@ -61,6 +64,11 @@
 		policy   string
 		settings *Settings
 	}{{settings.PolicyOff, plan.Off}, {settings.PolicyOn, plan.On}}
+	for _, fleet := range fleets {
+		if err := plan.warm(ctx, fleet.settings); err != nil {
+			return nil, nil, err
+		}
+	}
 	var (
 		rows      []BenchRow
 		summaries []*Summary
@@ -82,6 +90,17 @@
 	return rows, summaries, nil
 }
 
+// warmupSeed differs from the seeds of the measured runs.
+const warmupSeed = 0
+
+func (p *BenchPlan) warm(ctx context.Context, s *Settings) error {
+	if p.Warmup == 0 {
+		return nil
+	}
+	Run(ctx, s, s.Schedule(s.profile(ScenarioSteady, p.Warmup, 0), warmupSeed, p.MaxRequests))
+	return sleep(ctx, p.Settle)
+}
+
 func (p *BenchPlan) run(ctx context.Context, s *Settings, scenario Scenario, seed uint64) (*Summary, error) {
 	profile := s.profile(scenario, p.Duration, p.CrestHold)
 	control := newControlClient()
--- a/internal/load/cli.go
+++ b/internal/load/cli.go
@@ -147,6 +147,7 @@
 	Scenarios   []Scenario    `help:"Scenarios, separated by commas. The default is all." placeholder:"NAME"`
 	Duration    time.Duration `help:"Length of every run but those of the crest." default:"5s"`
 	CrestHold   time.Duration `help:"Time at the crest." default:"10s"`
+	Warmup      time.Duration `help:"Length of a steady run on each fleet whose result is dropped." default:"3s"`
 	Settle      time.Duration `help:"Pause before each run." default:"1s"`
 	MaxRequests int           `help:"Largest number of requests of one run." default:"50000"`
 	JSON        bool          `help:"Print the results as JSON." name:"json"`
@@ -172,7 +173,7 @@
 	}
 	p := &BenchPlan{
 		Off: off, On: on, Scenarios: Scenarios, Duration: c.Duration, CrestHold: c.CrestHold,
-		Settle: c.Settle, MaxRequests: c.MaxRequests, Progress: os.Stderr,
+		Warmup: c.Warmup, Settle: c.Settle, MaxRequests: c.MaxRequests, Progress: os.Stderr,
 	}
 	if len(c.Scenarios) > 0 {
 		p.Scenarios = c.Scenarios
@@ -185,7 +186,7 @@
 	if c.Seeds < 1 || c.Seeds > maxSeeds {
 		return nil, &cli.UsageError{Message: fmt.Sprintf("--seeds must be from 1 to %d", maxSeeds)}
 	}
-	if c.Duration <= 0 || c.Duration > maxDuration || c.CrestHold < 0 || c.CrestHold > maxDuration || c.Settle < 0 || c.MaxRequests < 1 {
+	if c.Duration <= 0 || c.Duration > maxDuration || c.CrestHold < 0 || c.CrestHold > maxDuration || c.Settle < 0 || c.Warmup < 0 || c.Warmup > maxDuration || c.MaxRequests < 1 {
 		return nil, &cli.UsageError{Message: fmt.Sprintf("times must be from 0 to %s, --duration and --max-requests above 0", maxDuration)}
 	}
 	for seed := range c.Seeds {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -57,6 +57,9 @@
 	NotSent int `json:"not_sent"`
 	// Latency is that of the answered requests, from the intended send time.
 	Latency Quantiles `json:"latency"`
+	// SendDelay is the time from the intended to the real send. It shows whether
+	// the load tool itself was late.
+	SendDelay Quantiles `json:"send_delay"`
 	// Decision is the time from the send to a refusal.
 	Decision Quantiles `json:"refusal_decision"`
 	// Coverage is the mean coverage ratio of the answered requests.
@@ -90,6 +93,7 @@
 	s := &Summary{Codes: map[status.Code]int{}, Violations: []Violation{}}
 	latency := hdrhistogram.New(minLatencyUS, maxLatencyUS, significantFigures)
 	decision := hdrhistogram.New(minLatencyUS, maxLatencyUS, significantFigures)
+	delay := hdrhistogram.New(minLatencyUS, maxLatencyUS, significantFigures)
 	good := 0
 	for _, o := range observations {
 		if t != nil {
@@ -99,6 +103,9 @@
 			o.Violations = append(o.Violations, "no readable answer arrived: "+o.Error)
 		}
 		s.list(o)
+		if o.Step == stepSearch || o.Step == stepPermit {
+			recordLatency(delay, o.SentUS-o.IntendedUS)
+		}
 		if !o.Final {
 			continue
 		}
@@ -130,7 +137,7 @@
 		s.Coverage /= float64(s.Answered)
 		s.ContractMet /= float64(s.Answered)
 	}
-	s.Latency, s.Decision = quantiles(latency), quantiles(decision)
+	s.Latency, s.Decision, s.SendDelay = quantiles(latency), quantiles(decision), quantiles(delay)
 	s.Goodput = float64(good) / duration.Seconds()
 	s.OfferedPerSecond = float64(s.Requests) / duration.Seconds()
 	if t != nil {
@@ -175,6 +182,7 @@
 	fmt.Fprintf(t, "not sent\t%d\n", s.NotSent)
 	fmt.Fprintf(t, "goodput\t%.1f/s\n", s.Goodput)
 	fmt.Fprintf(t, "latency\t%s\n", q(s.Latency))
+	fmt.Fprintf(t, "send delay\t%s\n", q(s.SendDelay))
 	if s.Refused > 0 {
 		fmt.Fprintf(t, "refusal decision\t%s\n", q(s.Decision))
 	}
