--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -111,8 +111,7 @@
 	if err := sleep(ctx, p.Settle); err != nil {
 		return nil, err
 	}
-	before, err := control.baseline(ctx, addresses)
-	if err != nil {
+	if err := control.reset(ctx, addresses); err != nil {
 		return nil, err
 	}
 	injected := make(chan error, 1)
@@ -130,7 +129,7 @@
 	if err := control.clear(ctx, addresses); err != nil {
 		return nil, err
 	}
-	t, err := control.since(ctx, addresses, before)
+	t, err := control.since(ctx, addresses, baseline{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/load/control.go
+++ b/internal/load/control.go
@@ -15,6 +15,8 @@
 const (
 	controlPath = "/control"
 	recordsPath = "/control/records"
+	// resetPath empties the records of every target of a process (DELETE).
+	resetPath = "/control/record?target=*"
 )
 
 // maxRecordBytes bounds the records of one process that are read.
@@ -22,12 +24,12 @@
 
 // Faults that the scenarios use (docs/PROTOCOLS.md).
 const (
-	controlSlow   = "slow"
-	controlDelay  = "delay"
-	controlSilent = "silent"
-	controlCrash  = "crash"
-	controlDrain  = "drain"
-	controlClear  = "clear"
+	controlSlow       = "slow"
+	controlNeverReply = "never_reply"
+	controlSilent     = "silent"
+	controlCrash      = "crash"
+	controlDrain      = "drain"
+	controlClear      = "clear"
 )
 
 // allTargets selects every target of a process in a Command.
@@ -40,7 +42,6 @@
 	DurationMS int64   `json:"duration_ms,omitempty"`
 	Fraction   float64 `json:"fraction,omitempty"`
 	Factor     float64 `json:"factor,omitempty"`
-	DelayMS    int64   `json:"delay_ms,omitempty"`
 	RestartMS  int64   `json:"restart_ms,omitempty"`
 }
 
@@ -81,6 +82,16 @@
 	return err
 }
 
+// reset empties the records, so that those of one run are short.
+func (c *controlClient) reset(ctx context.Context, addresses []string) error {
+	for _, address := range addresses {
+		if _, err := c.do(ctx, http.MethodDelete, address, resetPath, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *controlClient) records(ctx context.Context, address string) ([]record, error) {
 	data, err := c.do(ctx, http.MethodGet, address, recordsPath, nil)
 	if err != nil {
@@ -109,7 +120,7 @@
 	if err != nil {
 		return nil, status.Wrap(err, status.Unavailable, "", "control %s", address)
 	}
-	if reply.StatusCode != http.StatusOK {
+	if reply.StatusCode != http.StatusOK && reply.StatusCode != http.StatusNoContent {
 		return nil, status.New(status.InvalidArgument, "", "control %s: HTTP status %d: %.200s", address, reply.StatusCode, data)
 	}
 	return data, nil
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -53,8 +53,6 @@
 	lossShare   = 0.1
 	silentShare = 0.5
 	drainShare  = 0.2
-	// cutDelay is longer than any deadline, so a cut target never replies in time.
-	cutDelay = 60 * time.Second
 )
 
 // Moments of the faults as parts of the run.
@@ -110,7 +108,7 @@
 	case ScenarioZoneCut:
 		zone := s.Targets[rng.IntN(len(s.Targets))].Zone
 		cut := slices.DeleteFunc(slices.Clone(s.Targets), func(t Target) bool { return t.Zone != zone })
-		add(start, cut, Command{Fault: controlDelay, DelayMS: cutDelay.Milliseconds(), DurationMS: length.Milliseconds()})
+		add(start, cut, Command{Fault: controlNeverReply, DurationMS: length.Milliseconds()})
 	}
 	return out
 }
