Check cached state after a pause and state outcomes at the door truly

Change: refusals at the door of a request with a permit are Unknown; a paused process holds new requests until it has asked its peers; shares follow the number of entries; metrics are published; answers have a write deadline of their own; crashes and mismatched replies are logged.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -87,12 +87,13 @@
 	})
 	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
-	e.noteRefusal(r.target, r.err)
+	e.noteFailure(r.target, msg.RequestID, r.err)
 	if e.guard != nil && e.targetCrashed(r.target, r.err) {
 		e.metrics.Crashes.Add(1)
 		r.crashed = true
 		// Recorded here because the query may have ended already.
 		r.refused = e.guard.crashed(r.fingerprint, r.target, r.alone)
+		e.noteCrash(r.target, msg.RequestID, r.refused)
 		e.spread()
 	}
 	results <- r
--- a/internal/entry/crash.go
+++ b/internal/entry/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/audit"
 )
 
 const (
@@ -101,6 +102,14 @@
 	g.detector.Merge(f, g.self.clock())
 }
 
+// noteCrash logs a crash and records a request that is refused because of it.
+func (e *Engine) noteCrash(target, requestID string, refused bool) {
+	e.log.Warn().Str("target", target).Str("request_id", requestID).Bool("refused", refused).Msg("target crashed during an attempt")
+	if refused {
+		e.audit.Record(time.Now(), audit.Quarantined, e.self.Entry, "request "+requestID+" crashed two targets, the last one "+target)
+	}
+}
+
 // targetCrashed reports whether a failed attempt coincides with a crash of its
 // target: the connection broke after the request was sent and a new one is
 // refused.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -41,8 +42,10 @@
 	metrics  *Metrics
 	facts    *facts
 	app      *kratos.App
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// drainOnce keeps a second stop signal from draining again.
+	drainOnce sync.Once
+	cancel    context.CancelFunc
+	done      chan struct{}
 }
 
 // NewDaemon opens the listeners and wires the parts of an entry.
@@ -71,6 +74,8 @@
 		PolicyOn:  set.PolicyMode == settings.PolicyOn,
 		Metrics:   d.metrics,
 		Spread:    func() { d.syncer.Spread() },
+		Verify:    func() { d.syncer.Refresh(context.Background()) },
+		Audit:     d.audit,
 	})
 	d.facts = newFacts(d.engine)
 	d.wireSync()
@@ -103,7 +108,7 @@
 		kratos.Server(caller, admin, peers),
 		kratos.Logger(kratosLogger{d.log}),
 		kratos.StopTimeout(stopTimeout),
-		kratos.BeforeStop(func(context.Context) error { d.drain(); return nil }),
+		kratos.BeforeStop(func(context.Context) error { d.drainOnce.Do(d.drain); return nil }),
 	)
 	return nil
 }
@@ -121,7 +126,9 @@
 		defer close(maintained)
 		d.maintain(ctx)
 	}()
+	d.metrics.Publish()
 	go d.engine.pollReports(ctx)
+	go d.engine.pause.run(ctx)
 	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
 	d.log.Info().Str("incarnation", d.self.Incarnation.String()).Str("callers", d.settings.CallerAddress).Msg("entry started")
 	err := d.app.Run()
@@ -138,6 +145,18 @@
 	return nil
 }
 
+// entryCount counts this entry and the peers that live or are listed. A peer
+// that is cut off from this entry may still use its share of the connections.
+func (d *Daemon) entryCount() int {
+	n := 1
+	for _, m := range d.syncer.Members() {
+		if m.Alive || m.Listed {
+			n++
+		}
+	}
+	return n
+}
+
 // Shutdown starts a planned stop.
 func (d *Daemon) Shutdown() error { return d.app.Stop() }
 
@@ -157,6 +176,7 @@
 			d.engine.journal.Expire(now)
 			d.engine.inherited.Expire(now)
 			d.engine.leaving.expire(now)
+			d.engine.SetEntries(d.entryCount())
 		}
 	}
 }
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -13,6 +13,8 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/coordination/connshare"
+	"github.com/balsamstall/balsamstall/coordination/pause"
 	"github.com/balsamstall/balsamstall/coordination/permit"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -21,6 +23,7 @@
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
+	"github.com/balsamstall/balsamstall/state/audit"
 	"github.com/balsamstall/balsamstall/state/inflight"
 	"github.com/balsamstall/balsamstall/state/journal"
 	"github.com/balsamstall/balsamstall/transport/callerhttp"
@@ -67,9 +70,14 @@
 	journal   *journal.Journal
 	inherited *journal.Inherited
 	// guard is nil when the load policies are off.
-	guard    *crashGuard
-	leaving  *leavingSet
-	spread   func()
+	guard   *crashGuard
+	leaving *leavingSet
+	spread  func()
+	verify  func()
+	audit   *audit.Trail
+	pause   *pauseGuard
+	// entries is the number of entries that share the targets' connections.
+	entries  atomic.Int64
 	inflight inflight.Table
 	metrics  *Metrics
 
@@ -94,6 +102,11 @@
 	Metrics  *Metrics
 	// Spread tells peers of new facts at once. It must not block and may be nil.
 	Spread func()
+	// Verify checks documents and leaving targets with peers after a pause of the
+	// process. It may be nil.
+	Verify func()
+	// Audit may be nil.
+	Audit *audit.Trail
 }
 
 // New returns an engine that refuses requests until SetDocuments was called.
@@ -102,13 +115,19 @@
 	if cfg.Spread == nil {
 		cfg.Spread = func() {}
 	}
+	if cfg.Verify == nil {
+		cfg.Verify = func() {}
+	}
+	if cfg.Audit == nil {
+		cfg.Audit = audit.New(zerolog.Nop())
+	}
 	var p policy = &baseline{self: cfg.Self, leaving: leaving}
 	var guard *crashGuard
 	if cfg.PolicyOn {
 		p = newLoaded(cfg.Self, leaving)
 		guard = newCrashGuard(cfg.Self, cfg.PermitKey)
 	}
-	return &Engine{
+	e := &Engine{
 		self:      cfg.Self,
 		log:       cfg.Log,
 		targets:   cfg.Targets,
@@ -121,8 +140,13 @@
 		inherited: journal.NewInherited(),
 		metrics:   cfg.Metrics,
 		spread:    cfg.Spread,
+		verify:    cfg.Verify,
+		audit:     cfg.Audit,
 		parts:     make(map[ids.Incarnation][]*peerpb.HandoverRequest),
 	}
+	e.entries.Store(1)
+	e.pause = newPauseGuard(cfg.Self, e.afterPause)
+	return e
 }
 
 // SetDocuments puts an accepted sheet and index in force for new requests.
@@ -130,7 +154,30 @@
 	p := newPlan(s, d)
 	e.policy.setPlan(p)
 	e.plan.Store(p)
-	e.targets.Configure(s.Targets, func(t sheet.Target) int { return t.MaxConnections })
+	e.configureTargets(p)
+}
+
+// SetEntries tells how many entries share the connections to the targets.
+func (e *Engine) SetEntries(n int) {
+	if e.entries.Swap(int64(n)) == int64(n) {
+		return
+	}
+	if p := e.plan.Load(); p != nil {
+		e.configureTargets(p)
+	}
+}
+
+func (e *Engine) configureTargets(p *plan) {
+	entries := int(e.entries.Load())
+	e.targets.Configure(p.sheet.Targets, func(t sheet.Target) int { return connshare.Share(t.MaxConnections, entries) })
+}
+
+// afterPause drops what a pause of the process may have made stale.
+func (e *Engine) afterPause(gap pause.Gap) {
+	e.metrics.Pauses.Add(1)
+	e.log.Warn().Dur("monotonic_gap", gap.Monotonic).Dur("wall_gap", gap.Wall).Msg("the process was paused; checking cached state")
+	e.targets.DropIdle()
+	e.verify()
 }
 
 // request is one authenticated request.
@@ -147,12 +194,14 @@
 func (e *Engine) Search(ctx context.Context, call callerhttp.Call) callerhttp.Reply {
 	id := e.nextID()
 	if !e.inflight.Begin(id.Sequence) {
-		return e.errorReply(id, status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(defaultRetryAfter), "")
+		err := status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(defaultRetryAfter)
+		return e.errorReply(id, unproved(call.Search, err), "")
 	}
 	defer e.inflight.End(id.Sequence)
+	e.pause.wait(ctx)
 	req, err := e.prepare(id, call)
 	if err != nil {
-		return e.errorReply(id, err, "")
+		return e.errorReply(id, unproved(call.Search, err), "")
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
@@ -166,6 +215,17 @@
 	return reply
 }
 
+// unproved turns the outcome of a refusal at the door into Unknown when the
+// request carries a permit: an earlier use of it may have run.
+func unproved(search callerapi.SearchRequest, err error) error {
+	if search.Permit == "" {
+		return err
+	}
+	se := *status.From(err)
+	se.Outcome = status.Unknown
+	return &se
+}
+
 // Refuse implements callerhttp.Handler.
 func (e *Engine) Refuse(err *status.Error) callerhttp.Reply {
 	return e.errorReply(e.nextID(), err, "")
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -61,9 +61,11 @@
 func (e *Engine) HandleForward(ctx context.Context, fwd *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
 	id := e.nextID()
 	if !e.inflight.Begin(id.Sequence) {
-		return forwardReply(e.errorReply(id, status.New(status.Draining, status.Unknown, "this entry is stopping"), "")), nil
+		err := status.New(status.Draining, status.Unknown, "this entry is stopping").WithRetryAfter(defaultRetryAfter)
+		return forwardReply(e.errorReply(id, err, "")), nil
 	}
 	defer e.inflight.End(id.Sequence)
+	e.pause.wait(ctx)
 	req, err := e.prepareForwarded(id, fwd)
 	if err != nil {
 		return forwardReply(e.errorReply(id, err, "")), nil
@@ -93,15 +95,15 @@
 	}
 	var search callerapi.SearchRequest
 	if err := json.Unmarshal(fwd.Search, &search); err != nil {
-		return nil, status.Wrap(err, status.InvalidArgument, status.NotRun, "the forwarded request is malformed")
+		return nil, status.Wrap(err, status.InvalidArgument, status.Unknown, "the forwarded request is malformed")
 	}
 	caller := &sheet.Caller{Name: fwd.Caller, Workspace: fwd.Workspace, Services: []string{search.Service}}
 	svc, err := p.service(caller, search.Service)
 	if err != nil {
-		return nil, err
+		return nil, unproved(search, err)
 	}
 	if svc.Repeat.Rule != sheet.AtMostOnce {
-		return nil, status.New(status.InvalidArgument, status.NotRun, "service %s takes no permits", svc.Name)
+		return nil, status.New(status.InvalidArgument, status.Unknown, "service %s takes no permits", svc.Name)
 	}
 	limit := time.Duration(svc.Latency.MaxDeadlineMS) * time.Millisecond
 	timeout := min(time.Duration(fwd.TimeoutMs)*time.Millisecond, limit)
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -79,9 +79,13 @@
 	}
 }
 
-// noteRefusal takes a target's own word that it is leaving.
-func (e *Engine) noteRefusal(target string, err error) {
-	if status.CodeOf(err) == status.Draining {
+// noteFailure takes a target's own word that it is leaving, and logs replies
+// that belong to another attempt.
+func (e *Engine) noteFailure(target, requestID string, err error) {
+	switch status.CodeOf(err) {
+	case status.Draining:
 		e.MarkLeaving(target, leavingPeriod)
+	case status.ReplyMismatch:
+		e.log.Warn().Str("target", target).Str("request_id", requestID).Err(err).Msg("reply dropped; its connection is closed")
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -28,6 +28,8 @@
 	Crashes expvar.Int
 	// LeavingTargets counts targets that were found to be leaving.
 	LeavingTargets expvar.Int
+	// Pauses counts pauses of the process.
+	Pauses expvar.Int
 	// Forwards counts requests sent to another entry.
 	Forwards expvar.Int
 	// Replays counts remembered answers.
@@ -57,6 +59,7 @@
 	vars.Set("hedges_total", &m.Hedges)
 	vars.Set("crashes_total", &m.Crashes)
 	vars.Set("leaving_targets_total", &m.LeavingTargets)
+	vars.Set("pauses_total", &m.Pauses)
 	vars.Set("forwards_total", &m.Forwards)
 	vars.Set("replays_total", &m.Replays)
 	vars.Set("silent_connections_total", &m.SilentConnections)
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -198,7 +198,8 @@
 	guard := g.engine.guard
 	if guard != nil && g.engine.targetCrashed(target, err) {
 		g.engine.metrics.Crashes.Add(1)
-		guard.crashed(g.fingerprint, target, g.alone)
+		refused := guard.crashed(g.fingerprint, target, g.alone)
+		g.engine.noteCrash(target, "", refused)
 		g.engine.spread()
 	}
 }
@@ -220,7 +221,7 @@
 	}, targethttp.Options{FreshConnection: true})
 	e.policy.finish(token, classOf(err))
 	e.metrics.attempt(err)
-	e.noteRefusal(target, err)
+	e.noteFailure(target, req.id.String(), err)
 	return reply, err
 }
 
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -140,6 +140,19 @@
 	is.Equal(status.CodeOf(err), status.InvalidArgument)
 }
 
+// Guards against "not run" from an entry that cannot know: the permit of the
+// refused request ran at its issuer.
+func TestRefusalAtTheDoorOfAPermitThatRanIsUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 4)
+	permit := f.permit(0, testKeyAsan, "fetch d1")
+	is.Equal(f.search(0, testKeyAsan, once("fetch d1", permit)).status, http.StatusOK)
+	is.NoErr(f.engine(1).Stop(context.Background()))
+	is.Equal(f.search(1, testKeyAsan, once("fetch d1", permit)).fault.Outcome, status.Unknown)
+	is.Equal(f.search(1, testKeyAsan, once("fetch d1", "")).fault.Outcome, status.NotRun)
+	is.Equal(f.search(2, "lost key", once("fetch d1", permit)).fault.Outcome, status.Unknown)
+}
+
 // faultyTarget returns a target behaviour drawn from rng: it runs or not, and
 // its reply arrives, is lost, or is a refusal.
 func faultyTarget(f *fakeTargets, draw func(n int) int) func(context.Context, string, *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -17,13 +17,15 @@
 // Error lists every fault of a sheet.
 type Error = document.Error
 
-// Bounds of the sheet's fields.
+// MaxDeadlineMS is the longest deadline that a sheet may allow, in milliseconds.
+const MaxDeadlineMS = 600_000
+
+// Bounds of the sheet's other fields.
 const (
 	maxSlots         = 10_000
 	maxConnections   = 100_000
 	minPriority      = 1
 	maxPriority      = 9
-	maxLatencyMS     = 600_000
 	maxWindowS       = 86_400
 	maxConcurrency   = 100_000
 	maxQueue         = 100_000
@@ -137,8 +139,8 @@
 		c.Name(path+".group", s.Group, nil)
 	}
 	c.Range(path+".priority", int64(s.Priority), minPriority, maxPriority)
-	c.Range(path+".latency.contract_ms", s.Latency.ContractMS, 1, maxLatencyMS)
-	c.Range(path+".latency.max_deadline_ms", s.Latency.MaxDeadlineMS, 1, maxLatencyMS)
+	c.Range(path+".latency.contract_ms", s.Latency.ContractMS, 1, MaxDeadlineMS)
+	c.Range(path+".latency.max_deadline_ms", s.Latency.MaxDeadlineMS, 1, MaxDeadlineMS)
 	if s.Latency.MaxDeadlineMS < s.Latency.ContractMS {
 		c.Add(path+".latency.max_deadline_ms", strconv.FormatInt(s.Latency.MaxDeadlineMS, 10),
 			fmt.Sprintf("at least contract_ms (%d)", s.Latency.ContractMS))
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -336,7 +336,10 @@
 
 type entryStatus struct {
 	SheetRevision uint64 `json:"sheet_revision"`
-	IndexRevision uint64 `json:"index_revision"`
+	Targets       []struct {
+		ID      string `json:"id"`
+		Leaving bool   `json:"leaving"`
+	} `json:"targets"`
 }
 
 func (c *cluster) revision(p *entryProcess) uint64 {
--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -72,6 +73,37 @@
 	}
 }
 
+// Guards P6 under F5: an entry that was paused while a target was declared
+// leaving sends it nothing when it wakes.
+func TestPausedEntryLearnsOfLeavingTargetsBeforeItSends(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	for n := range 10 {
+		is.Equal(c.search(c.entries[0], quote(fmt.Sprintf("before %d", n))).status, http.StatusOK)
+	}
+	leaving := c.targets[0]
+	c.signal(c.entries[0], syscall.SIGSTOP)
+	c.platform.SetHosts([]platformapi.Host{{
+		ID: leaving.ID(), Kind: platformapi.KindTarget, Zone: "az-1", Address: leaving.Addr(), State: platformapi.HostLeaving,
+	}})
+	c.eventually("the other entry knows", func() bool {
+		var s entryStatus
+		is.NoErr(c.admin(c.entries[1], http.MethodGet, "/status", &s))
+		for _, tg := range s.Targets {
+			if tg.ID == leaving.ID() {
+				return tg.Leaving
+			}
+		}
+		return false
+	})
+	before := leaving.Counters().Started
+	c.signal(c.entries[0], syscall.SIGCONT)
+	for n := range 20 {
+		is.Equal(c.search(c.entries[0], quote(fmt.Sprintf("after %d", n))).status, http.StatusOK)
+	}
+	is.Equal(leaving.Counters().Started, before)
+}
+
 // Guards F7: a request that crashes each target that runs it, sent again and
 // again to all entries, takes down two targets and no innocent request.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -27,8 +28,11 @@
 	// ReadTimeout bounds the time in which a whole request must arrive.
 	ReadTimeout = 5 * time.Second
 	// WriteTimeout bounds the time from the end of a request's header to the
-	// end of its answer. It exceeds the longest deadline of a service.
-	WriteTimeout = 70 * time.Second
+	// end of its answer. It exceeds the longest deadline, so that no
+	// answer is cut off.
+	WriteTimeout = sheet.MaxDeadlineMS*time.Millisecond + ReplyTimeout
+	// ReplyTimeout bounds the sending of an answer to a client that reads slowly.
+	ReplyTimeout = 10 * time.Second
 	// IdleTimeout bounds the wait for the next request on a connection.
 	IdleTimeout = 60 * time.Second
 )
@@ -134,6 +138,8 @@
 		seconds := int64((reply.RetryAfter + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
+	// A writer without deadlines is still bounded by WriteTimeout.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(ReplyTimeout))
 	w.WriteHeader(reply.Status)
 	// A failed write means that the client went away; nothing is left to tell it.
 	_, _ = w.Write(reply.Body)
