Measure a change and test refusals and the planned stop

A refused document must be recorded once, and a conflict that only the platform shows must be recorded at all.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,11 +16,14 @@
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/coordination/revision"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/state/documents"
 	"github.com/balsamstall/balsamstall/transport/peerrpc"
 )
 
@@ -137,6 +141,37 @@
 	allReach(t, fleet, 3)
 }
 
+// Guards against a conflict that the platform itself shows staying unnoticed, and
+// against one event for each poll that meets the same refused document.
+func TestRefusalsAreRecordedOnce(t *testing.T) {
+	is := is.New(t)
+	e := &entryUnderTest{trail: audit.New(zerolog.Nop())}
+	s := New(Config{Entry: "e0"}, Deps{Audit: e.trail, ParseSheet: parseSheet, ParseIndex: parseIndex})
+	for range 3 {
+		for _, value := range []string{sheetOf(2, "one"), sheetOf(2, "two"), sheetOf(1, "one"), sheetOf(3, "faulty"), `{"Revision":9}`} {
+			content, err := delta.New([]byte(value))
+			is.NoErr(err)
+			s.accept(platformapi.SheetKey, content, "platform")
+		}
+	}
+	is.Equal(s.Current().Sheet.Date, "one")
+	is.Equal(e.recorded(audit.DocumentAccepted), 1)
+	is.Equal(e.recorded(audit.RevisionConflict), 1)
+	is.Equal(e.recorded(audit.DocumentRefused), 3) // Too old, faulty, without a revision.
+}
+
+// Guards against peers that go on counting on an entry in a planned stop.
+func TestDrainingIsAnnounced(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.rounds = time.Hour
+	a, b := w.start(t, "e0", "e1"), w.start(t, "e1", "e0")
+	a.SetDraining()
+	is.True(!a.Watching())
+	is.Equal(a.Announce(context.Background()), 1)
+	is.True(b.Members()[0].Draining)
+}
+
 // Guards against a platform whose version counter starts again, as after a
 // restart of the platform, being ignored for good. No call fails meanwhile.
 func TestPlatformCounterStartsAgain(t *testing.T) {
@@ -311,6 +346,73 @@
 	return h.HandleFetch(ctx, in)
 }
 
+// benchSheets returns the compact JSON of a sheet and of the same with one
+// service changed. Today's services have 3 targets each; a sheet of 3,500 such
+// services would exceed 1 MB, so its targets are fewer.
+func benchSheets(b *testing.B, services, targets int) [2]*delta.Document {
+	sh := sheet.Sheet{Date: "2026-12-04", Workspaces: []sheet.Workspace{{Name: "w1"}}}
+	for i := range services {
+		sh.Services = append(sh.Services, sheet.Service{Name: fmt.Sprintf("quote-%04d", i), Group: "quote-desk", Priority: 1 + i%9,
+			Latency: sheet.Latency{ContractMS: 110, MaxDeadlineMS: 400}, Coverage: sheet.Coverage{MinRatio: 0.95},
+			Repeat: sheet.Repeat{Rule: sheet.Idempotent}, Limits: sheet.Limits{MaxConcurrency: 64, MaxQueue: 128, MaxFanout: 68},
+			Hedge: sheet.Hedge{BudgetRatio: 0.05}})
+	}
+	for i := range targets {
+		sh.Targets = append(sh.Targets, sheet.Target{ID: fmt.Sprintf("t%05d", i), Zone: fmt.Sprintf("z%d", i%18),
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Slots: 3, MaxConnections: 30})
+	}
+	var pair [2]*delta.Document
+	for i := range pair {
+		sh.Revision = uint64(i + 1)
+		sh.Services[services/2].Limits.MaxConcurrency += i
+		data, err := json.Marshal(sh)
+		if err == nil {
+			pair[i], err = delta.New(data)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+	return pair
+}
+
+// BenchmarkChange is the cost of one change of one service: at the entry that
+// sends it, once for all its peers, and at each entry that receives it, from
+// the reply to the view. The bytes are those of the reply.
+func BenchmarkChange(b *testing.B) {
+	deps := Deps{Audit: audit.New(zerolog.Nop()), ParseSheet: parseSheet, ParseIndex: parseIndex}
+	for _, size := range []struct{ services, targets int }{{35, 105}, {350, 1050}, {3500, 600}} {
+		pair := benchSheets(b, size.services, size.targets)
+		var docs [2]*documents.Document
+		for i, content := range pair {
+			docs[i] = &documents.Document{Version: revision.Version{Revision: uint64(i + 1), Digest: content.Digest()}, Content: content}
+		}
+		for _, kind := range []string{"delta", "whole"} {
+			base := docs[0]
+			if kind == "whole" {
+				base = nil
+			}
+			reply := encodeTransfer(platformapi.SheetKey, docs[1], base, true)
+			b.Run(fmt.Sprintf("services=%d/%s/send", size.services, kind), func(b *testing.B) {
+				for b.Loop() {
+					encodeTransfer(platformapi.SheetKey, docs[1], base, true)
+				}
+				b.ReportMetric(float64(proto.Size(reply)), "reply-bytes")
+			})
+			b.Run(fmt.Sprintf("services=%d/%s/receive", size.services, kind), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					s := New(Config{Entry: "e"}, deps)
+					content, err := decodeTransfer(base, reply)
+					if err != nil || s.accept(platformapi.SheetKey, content, "peer") != revision.Accept {
+						b.Fatal("the change was not accepted")
+					}
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkExchange is the cost of one exchange at the peer that is called. An
 // entry calls and is called twice a second, so it moves 8 messages a second.
 func BenchmarkExchange(b *testing.B) {
