--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -172,6 +172,24 @@
 	is.True(b.Members()[0].Draining)
 }
 
+// Guards against a host list that hides entries or leads to a wrong address: it
+// adds entries and does not replace what the settings say.
+func TestHostListIsAHint(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Entry: "e0", Peers: []Peer{{"e1", "z", "address-of-e1"}}}, Deps{})
+	s.takeHosts([]platformapi.Host{
+		{ID: "e1", Kind: platformapi.KindEntry, Address: "old"},
+		{ID: "e2", Kind: platformapi.KindEntry, Address: "address-of-e2", State: platformapi.HostLeaving},
+		{ID: "t1", Kind: platformapi.KindTarget, Address: "a target"},
+		{ID: "e0", Kind: platformapi.KindEntry, Address: "itself"},
+	})
+	members := s.Members()
+	is.Equal(len(members), 2)
+	is.Equal(members[0].Address, "address-of-e1")
+	is.Equal(members[1].Address, "address-of-e2")
+	is.True(members[1].Draining && !members[1].Alive && members[1].Listed)
+}
+
 // Guards against a platform whose version counter starts again, as after a
 // restart of the platform, being ignored for good. No call fails meanwhile.
 func TestPlatformCounterStartsAgain(t *testing.T) {
