Keep the incarnation that an entry itself stated

A report's age does not count its way here, so a report of an incarnation that had just ended could look newer than the restarted entry's own word and name the old incarnation again. Reports of another incarnation are now ignored within the expiry.

go test -race passes, -count=10 on configsync.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -109,6 +109,7 @@
 	score    uint64
 	sources  Source
 	heard    time.Time
+	direct   time.Time // When the entry itself was heard.
 	failedAt time.Time
 	failures int
 }
@@ -174,8 +175,11 @@
 	}
 }
 
-// Heard records that e was alive at the time at, as it said itself or as
-// another entry reported. Older news than the table has is ignored.
+// Heard records that e was alive at the time at: now if it said so itself,
+// earlier if another entry reported it. Older news than the table has is
+// ignored. So is a report of another incarnation than the entry itself stated
+// within the expiry: a report's time does not count its way here, so news of an
+// incarnation that has just ended would look newer than its successor's.
 func (t *Table) Heard(now, at time.Time, e Entry) {
 	if at.After(now) {
 		at = now
@@ -184,6 +188,13 @@
 	if m == nil || !at.After(m.heard) {
 		return
 	}
+	direct := at.Equal(now)
+	if !direct && e.Incarnation != m.Incarnation && !m.direct.IsZero() && now.Sub(m.direct) <= t.expiry() {
+		return
+	}
+	if direct {
+		m.direct = now
+	}
 	if e.Address == "" { // A peer without the address field.
 		e.Address = m.Address
 	}
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -95,6 +95,23 @@
 	is.Equal(len(table.Members(start.Add(time.Hour))), 0)
 }
 
+// Guards against a report that brings back the incarnation of an entry that has
+// just restarted, because the report's time does not count its way here.
+func TestReportDoesNotBringBackAnIncarnation(t *testing.T) {
+	is := is.New(t)
+	entries := fleet(2, 1)
+	table := New(entries[0], Settings{})
+	old, restarted := entries[1], entries[1]
+	old.Incarnation[0], restarted.Incarnation[0] = 1, 2
+	table.Heard(start, start, restarted)
+	at := start.Add(10 * time.Millisecond)
+	table.Heard(at, at.Add(-time.Millisecond), old)
+	is.Equal(table.Members(at)[0].Incarnation, restarted.Incarnation)
+	at = at.Add(2 * DefaultExpiry) // The entry was not heard itself for long.
+	table.Heard(at, at.Add(-time.Millisecond), old)
+	is.Equal(table.Members(at)[0].Incarnation, old.Incarnation)
+}
+
 // Guards against a table that grows without bound from news of others.
 func TestTableIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -110,7 +110,7 @@
 		if i == maxMembersTaken {
 			break
 		}
-		age := max(time.Duration(k.AgeMs)*time.Millisecond, 0)
+		age := max(time.Duration(k.AgeMs)*time.Millisecond, time.Millisecond) // Only the sender itself is heard now.
 		s.table.Heard(now, now.Add(-age), entryOf(k))
 	}
 	s.mu.Unlock()
