--- a/internal/load/arrival.go
+++ b/internal/load/arrival.go
@@ -39,6 +39,9 @@
 	Hold time.Duration
 	// Duration is the length of the run.
 	Duration time.Duration
+	// Label is part of every unpopular query, so that the runs of a bench have
+	// different ones.
+	Label string
 }
 
 // rate returns the demand at a time since the start, in requests per second.
@@ -89,6 +92,9 @@
 // second time.
 const repeatShare = 0.25
 
+// popularQueries is the number of different popular queries.
+const popularQueries = 50
+
 // Schedule returns the arrivals of a run: a Poisson process whose rate follows
 // the profile. The same settings, profile and seed give the same arrivals. At
 // most limit arrivals are returned.
@@ -116,12 +122,12 @@
 		if rng.Float64()*peak >= p.rate(when) {
 			continue
 		}
-		out = append(out, s.arrival(rng, total, when, len(out), seed))
+		out = append(out, s.arrival(rng, total, when, len(out), p.Label, seed))
 	}
 	return out
 }
 
-func (s *Settings) arrival(rng *rand.Rand, total float64, at time.Duration, sequence int, seed uint64) Arrival {
+func (s *Settings) arrival(rng *rand.Rand, total float64, at time.Duration, sequence int, label string, seed uint64) Arrival {
 	pick := rng.Float64() * total
 	w := s.Workload[len(s.Workload)-1]
 	for _, candidate := range s.Workload {
@@ -138,8 +144,11 @@
 			a.Caller = c
 		}
 	}
-	// Every query is different, so that a result of another request shows.
-	a.Query = fmt.Sprintf("item %d of run %d", sequence, seed)
+	// Different queries have different results, so that those of another request show.
+	a.Query = fmt.Sprintf("item %d of run %s %d", sequence, label, seed)
+	if popular := rng.IntN(popularQueries); !w.AtMostOnce && rng.Float64() < w.PopularShare {
+		a.Query = fmt.Sprintf("popular item %d", popular)
+	}
 	a.Repeat = w.AtMostOnce && rng.Float64() < repeatShare
 	return a
 }
--- a/internal/load/cli.go
+++ b/internal/load/cli.go
@@ -97,7 +97,7 @@
 	if c.Peak == 0 {
 		c.Peak = crestDemand * c.Rate
 	}
-	profile := Profile{Shape: c.Shape, Base: c.Rate, Peak: c.Peak, Hold: c.Hold, Duration: c.Duration}
+	profile := Profile{Shape: c.Shape, Base: c.Rate, Peak: c.Peak, Hold: c.Hold, Duration: c.Duration, Label: "load"}
 	summary, observations, err := c.measure(ctx, s, profile)
 	if err != nil {
 		return err
@@ -148,8 +148,9 @@
 	Duration    time.Duration `help:"Length of every run but those of the crest." default:"5s"`
 	CrestHold   time.Duration `help:"Time at the crest." default:"10s"`
 	Warmup      time.Duration `help:"Length of a steady run on each fleet whose result is dropped." default:"3s"`
-	Settle      time.Duration `help:"Pause before each run." default:"1s"`
+	Settle      time.Duration `help:"Pause before each run." default:"500ms"`
 	MaxRequests int           `help:"Largest number of requests of one run." default:"50000"`
+	History     string        `help:"Existing directory that gets one history file per run." placeholder:"DIR"`
 	JSON        bool          `help:"Print the results as JSON." name:"json"`
 }
 
@@ -173,7 +174,7 @@
 	}
 	p := &BenchPlan{
 		Off: off, On: on, Scenarios: Scenarios, Duration: c.Duration, CrestHold: c.CrestHold,
-		Warmup: c.Warmup, Settle: c.Settle, MaxRequests: c.MaxRequests, Progress: os.Stderr,
+		Warmup: c.Warmup, Settle: c.Settle, MaxRequests: c.MaxRequests, HistoryDir: c.History, Progress: os.Stderr,
 	}
 	if len(c.Scenarios) > 0 {
 		p.Scenarios = c.Scenarios
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -18,8 +18,9 @@
 	// maxAnswerBytes bounds the body of an answer that is read.
 	maxAnswerBytes = 8 << 20
 	// answerGrace is the time that a caller waits beyond its deadline before it
-	// gives the answer up as lost.
-	answerGrace = 2 * time.Second
+	// gives the answer up as lost. It is long, so that an answer that is late on
+	// a busy host counts as late and not as lost.
+	answerGrace = 10 * time.Second
 	// dialTimeout bounds a new connection to an entry.
 	dialTimeout = 2 * time.Second
 	// idleConnections is the number of spare connections kept to each entry.
@@ -92,7 +93,7 @@
 }
 
 // Search sends one search to the entry at address (IP:port) with a bearer key.
-// It waits for the request's deadline and a grace of 2 s.
+// It waits for the request's deadline and a grace of 10 s.
 func (c *Client) Search(ctx context.Context, address, key string, request *callerapi.SearchRequest) Answer {
 	if request.DeadlineMS > 0 {
 		var cancel context.CancelFunc
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -65,7 +65,7 @@
 // Guards against answers whose faults go unseen.
 func TestRunFindsWrongAnswers(t *testing.T) {
 	for name, change := range map[string]func(*callerapi.SearchResponse){
-		"result of another workspace": func(r *callerapi.SearchResponse) { r.Results[2].ID = hitID(r, 0, "molina-shop", 2, "item 0 of run 1") },
+		"result of another workspace": func(r *callerapi.SearchResponse) { r.Results[2].ID = hitID(r, 0, "molina-shop", 2, "item 0 of run  1") },
 		"result of another request":   func(r *callerapi.SearchResponse) { r.Results[0].ID = hitID(r, 0, "", 0, "another query") },
 		"result of another snapshot":  func(r *callerapi.SearchResponse) { r.Snapshot.IndexVersion++ },
 		"result missing":              func(r *callerapi.SearchResponse) { r.Results = r.Results[1:] },
--- a/internal/load/settings.go
+++ b/internal/load/settings.go
@@ -62,6 +62,10 @@
 	MinRatio float64 `json:"min_ratio"`
 	// AtMostOnce marks a service that needs permits.
 	AtMostOnce bool `json:"at_most_once,omitempty"`
+	// PopularShare is the part of the requests, from 0 to 1, that ask one of 50
+	// popular queries. All others are different from each other, and so are all
+	// requests of an at_most_once service.
+	PopularShare float64 `json:"popular_share,omitempty"`
 }
 
 // Bounds of the settings.
@@ -120,8 +124,13 @@
 	}
 	c.Range(path+"deadline_ms", w.DeadlineMS, 1, maxDeadlineMS)
 	c.Range(path+"contract_ms", w.ContractMS, 1, maxDeadlineMS)
-	if !(w.MinRatio >= 0 && w.MinRatio <= 1) {
-		c.Add(path+"min_ratio", strconv.FormatFloat(w.MinRatio, 'g', -1, 64), "a number from 0 to 1")
+	checkRatio(c, path+"min_ratio", w.MinRatio)
+	checkRatio(c, path+"popular_share", w.PopularShare)
+}
+
+func checkRatio(c *settings.Checks, field string, value float64) {
+	if !(value >= 0 && value <= 1) {
+		c.Add(field, strconv.FormatFloat(value, 'g', -1, 64), "a number from 0 to 1")
 	}
 }
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -29,6 +29,7 @@
 # fleet POLICY PORTS copies the settings with another policy mode and port range.
 fleet() {
   local file n
+  require_free "127.0.0.1:${2}00" "127.0.0.1:${2}12" "127.0.0.1:${2}90"
   mkdir "$logs/$1"
   for file in "$bench"/*.json; do
     sed -e "s/127\.0\.0\.1:173/127.0.0.1:$2/" -e "s/\"policy_mode\": \"off\"/\"policy_mode\": \"$1\"/" "$file" >"$logs/$1/${file##*/}"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,6 +20,7 @@
 . "$(dirname "$0")/processes.sh"
 trap stop_all EXIT
 
+require_free 127.0.0.1:17000 127.0.0.1:17012 127.0.0.1:17190 127.0.0.1:17290
 start platform "$bin/balsam-standin" platform --config "$demo/platform.json"
 start targets-az-1 "$bin/balsam-standin" target --config "$demo/targets-az-1.json"
 start targets-az-2 "$bin/balsam-standin" target --config "$demo/targets-az-2.json"
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -13,6 +13,18 @@
   names+=("$name")
 }
 
+# require_free ADDRESS... fails when something listens on one of the addresses, such
+# as another run of the same script. Two runs would measure and disturb each other.
+require_free() {
+  local address
+  for address in "$@"; do
+    if (exec 3<>"/dev/tcp/${address%:*}/${address##*:}") 2>/dev/null; then
+      echo "$address is in use; is another run going on?" >&2
+      return 1
+    fi
+  done
+}
+
 # check_running fails, with the end of the log, when a started process has ended.
 check_running() {
   local i
@@ -36,7 +48,11 @@
   echo "${line%% *}"
 }
 
-# wait_ready ADMIN_ADDRESS... waits until /readyz of every address answers 200.
+# settle_s is the time after which a process that cannot listen has ended, in seconds.
+settle_s=0.5
+
+# wait_ready ADMIN_ADDRESS... waits until /readyz of every address answers 200, and
+# checks that the started processes run: the answers could be another run's.
 wait_ready() {
   local deadline=$((SECONDS + ready_timeout_s)) address
   for address in "$@"; do
@@ -49,6 +65,8 @@
       sleep 0.1
     done
   done
+  sleep "$settle_s"
+  check_running
 }
 
 # stop_all ends the started processes, last first: SIGTERM, a bounded wait, then SIGKILL.
