--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -29,6 +29,9 @@
 	if delay, ok := q.engine.policy.hedgeDelay(q.req.service.Name); ok {
 		s.hedgeAt = s.started.Add(delay)
 	}
+	if i == q.canary && i != q.trial {
+		s.restAt = s.started.Add(q.canaryWait())
+	}
 	if q.launch(i) {
 		return
 	}
--- a/internal/entry/canary.go
+++ b/internal/entry/canary.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
@@ -12,7 +13,8 @@
 // screen decides how the query may start. A request that no target has answered
 // yet first runs on one shard, its canary, so that a request that crashes
 // targets does not reach every shard at once (J. Dean and L. A. Barroso, "The
-// Tail at Scale", CACM 56(2), 2013).
+// Tail at Scale", CACM 56(2), 2013). The other shards wait at most for the time
+// that the sheet allows, because a whole reply would double the latency.
 func (q *query) screen() error {
 	guard := q.engine.guard
 	if guard == nil {
@@ -27,12 +29,22 @@
 	if decision.Verdict == quarantine.Alone {
 		q.avoid = decision.Avoid
 		q.canary, q.trial = 0, 0 // plan chooses the shard.
-	} else if !safe {
+	} else if !safe && q.req.service.Canary.MaxWaitMS > 0 {
 		q.canary = 0
 	}
 	return nil
 }
 
+// canaryShare is the part of the time left that the canary may take.
+const canaryShare = 4
+
+// canaryWait returns the time for which the other shards wait for the canary. A
+// canary without a reply must leave time for a partial answer.
+func (q *query) canaryWait() time.Duration {
+	wait := time.Duration(q.req.service.Canary.MaxWaitMS) * time.Millisecond
+	return min(wait, time.Until(q.req.deadline)/canaryShare)
+}
+
 // cleared takes note of a reply: the request does not crash every target.
 func (q *query) cleared(i int) {
 	if q.engine.guard == nil {
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -152,7 +152,7 @@
 // SetDocuments puts an accepted sheet and index in force for new requests.
 func (e *Engine) SetDocuments(s *sheet.Sheet, d *index.Document) {
 	p := newPlan(s, d)
-	e.policy.setPlan(p)
+	e.policy.setPlan(p, int(e.entries.Load()))
 	e.plan.Store(p)
 	e.configureTargets(p)
 }
@@ -163,6 +163,7 @@
 		return
 	}
 	if p := e.plan.Load(); p != nil {
+		e.policy.setPlan(p, n)
 		e.configureTargets(p)
 	}
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -220,6 +220,7 @@
 		Repeat:   sheet.Repeat{Rule: rule, WindowS: int64(testWindow / time.Second)},
 		Limits:   sheet.Limits{MaxConcurrency: 64, MaxQueue: 64, MaxFanout: 256},
 		Hedge:    sheet.Hedge{BudgetRatio: 0.05},
+		Canary:   sheet.Canary{MaxWaitMS: 1_000},
 	}
 }
 
--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -9,6 +9,9 @@
 // armHedge sets the timer to the next hedge decision.
 func (q *query) armHedge() {
 	var next time.Time
+	if q.canary != none {
+		next = q.subs[q.canary].restAt
+	}
 	for i := range q.subs {
 		s := &q.subs[i]
 		if !s.resolved && !s.hedgeAt.IsZero() && (next.IsZero() || s.hedgeAt.Before(next)) {
@@ -22,6 +25,18 @@
 	q.timer.Reset(max(time.Until(next), 0))
 }
 
+// due sends to the other shards when the canary has had its head start, and
+// decides about hedges.
+func (q *query) due(now time.Time) {
+	if q.canary != none {
+		if at := q.subs[q.canary].restAt; !at.IsZero() && !now.Before(at) {
+			q.launchRest()
+		}
+	}
+	q.hedge(now)
+	q.armHedge()
+}
+
 // hedge decides about each sub-request that waited for its delay.
 func (q *query) hedge(now time.Time) {
 	for i := range q.subs {
@@ -33,10 +48,6 @@
 		if i == q.trial {
 			continue
 		}
-		if i == q.canary {
-			// The canary is slow, but its target did not crash so far.
-			q.launchRest()
-		}
 		decision := q.engine.policy.hedge(q.req.service.Name, hedge.Progress{
 			Age:         now.Sub(s.started),
 			Fanout:      len(q.subs),
--- a/internal/entry/loaded.go
+++ b/internal/entry/loaded.go
@@ -12,6 +12,7 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
 )
@@ -72,13 +73,61 @@
 		leaving:   leaving,
 		settings:  replica.DefaultSettings(),
 		ramp:      rampup.DefaultSettings(),
-		admission: admission.New(admission.DefaultSettings()),
+		admission: admission.New(admissionSettings()),
 	}
 }
 
+// admissionSettings lets the limits fall to one request: with 9 entries and
+// targets of 3 slots an entry's part of a service is about one request.
+func admissionSettings() admission.Settings {
+	s := admission.DefaultSettings()
+	s.MinLimit, s.MinServiceLimit = 1, 1
+	return s
+}
+
+// hedgeSettings bounds the hedges that unused budget pays for at once. The
+// default burst exceeded 5% extra load in runs of a few seconds.
+func hedgeSettings() hedge.Settings {
+	s := hedge.DefaultSettings()
+	s.Burst = 20
+	return s
+}
+
+// slotFactor is the number of requests per slot that an entry admits at most: one
+// that runs and one that waits at the target.
+const slotFactor = 2
+
+// maxConcurrency bounds the running requests of a service by this entry's part
+// of its targets' slots.
+func maxConcurrency(p *plan, svc *sheet.Service, entries int) int {
+	idx := p.indexes[svc.Name]
+	if idx == nil || len(idx.Snapshots) == 0 || svc.Repeat.Rule == sheet.AtMostOnce {
+		return svc.Limits.MaxConcurrency
+	}
+	slots, shards := 0, 0
+	for i := range idx.Snapshots {
+		s := &idx.Snapshots[i]
+		seen := map[string]bool{}
+		for _, replicas := range s.Shards {
+			for _, id := range replicas {
+				if t := p.targets[id]; t != nil && !seen[id] {
+					seen[id] = true
+					slots += t.Slots
+				}
+			}
+		}
+		shards += len(s.Shards)
+	}
+	if shards == 0 {
+		return svc.Limits.MaxConcurrency
+	}
+	share := (slotFactor*slots + shards*entries - 1) / (shards * entries)
+	return min(max(share, 1), svc.Limits.MaxConcurrency)
+}
+
 func (l *loaded) now() time.Duration { return l.self.clock() }
 
-func (l *loaded) setPlan(p *plan) {
+func (l *loaded) setPlan(p *plan, entries int) {
 	l.setTargets(p)
 	now := l.now()
 	old := l.services.Load()
@@ -92,7 +141,7 @@
 		state := (*old)[name]
 		if state == nil {
 			state = &serviceState{
-				hedges:  hedge.New(hedge.DefaultSettings(), now),
+				hedges:  hedge.New(hedgeSettings(), now),
 				retries: retrybudget.New(retrybudget.DefaultSettings(), now),
 			}
 		}
@@ -101,7 +150,7 @@
 		state.mu.Unlock()
 		state.admission = l.admission.SetService(name, admission.ServiceConfig{
 			Priority:       svc.Priority,
-			MaxConcurrency: svc.Limits.MaxConcurrency,
+			MaxConcurrency: maxConcurrency(p, svc, entries),
 			MaxQueue:       svc.Limits.MaxQueue,
 		})
 		next[name] = state
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -43,8 +43,9 @@
 	// describeService and describeTarget fill a row of the operators' status.
 	describeService(name string, row *serviceReport)
 	describeTarget(id string, row *targetReport)
-	// setPlan tells the policy which services and targets exist.
-	setPlan(p *plan)
+	// setPlan tells the policy which services and targets exist, and how many
+	// entries share the targets.
+	setPlan(p *plan, entries int)
 }
 
 // attemptToken identifies one attempt in the statistics.
@@ -104,4 +105,4 @@
 func (*baseline) silentAfter(string) time.Duration     { return 0 }
 func (*baseline) expectedLatency(string) time.Duration { return 0 }
 func (*baseline) report(string, *targetapi.Status)     {}
-func (*baseline) setPlan(*plan)                        {}
+func (*baseline) setPlan(*plan, int)                   {}
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -95,8 +95,10 @@
 	// hedgeAt is the time of the next hedge decision, zero for none.
 	hedgeAt  time.Time
 	repeated bool // An earlier hedge decision refused.
-	cancel   context.CancelFunc
-	ctx      context.Context
+	// restAt is the time at which the other shards stop waiting for the canary.
+	restAt time.Time
+	cancel context.CancelFunc
+	ctx    context.Context
 }
 
 type attemptResult struct {
@@ -139,8 +141,7 @@
 		case r := <-q.results:
 			q.handle(ctx, r)
 		case now := <-q.timer.C:
-			q.hedge(now)
-			q.armHedge()
+			q.due(now)
 		case <-ctx.Done():
 			return q.finish()
 		}
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -36,11 +36,27 @@
 		Log:        d.log,
 		ParseSheet: sheet.Parse,
 		ParseIndex: index.Parse,
+		CheckSheet: checkSheet,
+		CheckIndex: checkIndex,
 		OnChange:   d.onChange,
 		OnHosts:    d.onHosts,
 	})
 }
 
+func checkSheet(s *sheet.Sheet) error {
+	if faults := s.Check(); len(faults) > 0 {
+		return &sheet.Error{Kind: "sheet", Faults: faults}
+	}
+	return nil
+}
+
+func checkIndex(d *index.Document) error {
+	if faults := d.Check(); len(faults) > 0 {
+		return &index.Error{Kind: "index", Faults: faults}
+	}
+	return nil
+}
+
 // onChange puts new documents in force once both are known.
 func (d *Daemon) onChange(v *configsync.View) {
 	if v.Sheet != nil && v.Index != nil {
--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -140,6 +140,7 @@
 	}
 	c.Range(path+".priority", int64(s.Priority), minPriority, maxPriority)
 	c.Range(path+".latency.contract_ms", s.Latency.ContractMS, 1, MaxDeadlineMS)
+	c.Range(path+".canary.max_wait_ms", s.Canary.MaxWaitMS, 0, MaxDeadlineMS)
 	c.Range(path+".latency.max_deadline_ms", s.Latency.MaxDeadlineMS, 1, MaxDeadlineMS)
 	if s.Latency.MaxDeadlineMS < s.Latency.ContractMS {
 		c.Add(path+".latency.max_deadline_ms", strconv.FormatInt(s.Latency.MaxDeadlineMS, 10),
--- a/protocol/sheet/sheet.go
+++ b/protocol/sheet/sheet.go
@@ -65,6 +65,7 @@
 	Repeat   Repeat   `json:"repeat"`
 	Limits   Limits   `json:"limits"`
 	Hedge    Hedge    `json:"hedge"`
+	Canary   Canary   `json:"canary,omitzero"`
 }
 
 // Latency is the latency rule of a contract.
@@ -107,6 +108,14 @@
 	BudgetRatio float64 `json:"budget_ratio"`
 }
 
+// Canary bounds the head start that the first shard of an unknown request gets.
+type Canary struct {
+	// MaxWaitMS is the time for which the other shards wait for the reply of the
+	// first one, in milliseconds. Zero sends to all shards at once. A request
+	// that crashed a target always runs alone first.
+	MaxWaitMS int64 `json:"max_wait_ms"`
+}
+
 // FindService returns the service with the given name, or nil.
 func (s *Sheet) FindService(name string) *Service {
 	for i := range s.Services {
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -178,6 +178,7 @@
 		Repeat:   repeat,
 		Limits:   sheet.Limits{MaxConcurrency: 256, MaxQueue: 256, MaxFanout: 256},
 		Hedge:    sheet.Hedge{BudgetRatio: budget},
+		Canary:   sheet.Canary{MaxWaitMS: 1_000},
 	}
 }
 
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -37,8 +37,8 @@
 	// FreshConnection sends on a connection that was never used before.
 	FreshConnection bool
 	// SilentAfter is the time without a reply after which the connection
-	// counts as silent, if other connections to the target had replies
-	// meanwhile. Zero turns the check off.
+	// counts as silent, if later attempts on other connections to the target had
+	// their replies. Zero turns the check off.
 	SilentAfter time.Duration
 }
 
@@ -205,8 +205,13 @@
 	// reusable is set when the connection may serve another request.
 	reusable bool
 
-	mu     sync.Mutex
-	silent bool // Guarded by mu.
+	mu sync.Mutex
+	// silence is the timer of the checks. Guarded by mu.
+	silence *time.Timer
+	// silent is set when the connection was found silent. Guarded by mu.
+	silent bool
+	// ended is set when the reply was read or failed. Guarded by mu.
+	ended bool
 }
 
 // run sends an attempt and checks that the reply belongs to it.
@@ -230,10 +235,7 @@
 	deadline, _ := ctx.Deadline()
 	x.conn.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, x.interrupt)
-	stopSilence := func() bool { return true }
-	if silentAfter > 0 {
-		stopSilence = time.AfterFunc(silentAfter, x.checkSilence).Stop
-	}
+	x.watchSilence(silentAfter)
 	outcome := status.Unknown
 	n, err := x.conn.Write(message)
 	if err == nil {
@@ -241,10 +243,10 @@
 	} else if n == 0 {
 		outcome = status.NotRun
 	}
-	// A check that already started may still interrupt the connection, which
-	// must then serve no other attempt.
-	stopped, quiet := stop(), stopSilence()
-	x.reusable = x.reusable && stopped && quiet
+	silent := x.endSilenceWatch()
+	// A cancellation that already started may still interrupt the connection,
+	// which must then serve no other attempt.
+	x.reusable = stop() && x.reusable && !silent
 	if err != nil {
 		x.pool.discard(x.conn)
 		return 0, nil, x.ioError(ctx, err, outcome)
@@ -260,28 +262,55 @@
 	}
 	now := time.Now()
 	x.conn.lastReply = now
-	x.pool.replied(now)
+	x.pool.noteReply(x.started)
 	x.pool.release(x.conn)
 }
 
 // interrupt makes pending reads and writes return at once.
 func (x *exchange) interrupt() { x.conn.SetDeadline(time.Unix(1, 0)) }
 
-// checkSilence ends the exchange when other connections to the target had
-// replies since it began: the target works, so the connection does not.
-func (x *exchange) checkSilence() {
-	if !x.pool.repliedSince(x.started) {
+// watchSilence checks after each period without a reply whether the connection
+// is silent. A period of zero turns the check off.
+func (x *exchange) watchSilence(period time.Duration) {
+	if period <= 0 {
 		return
 	}
 	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.silence = time.AfterFunc(period, func() { x.checkSilence(period) })
+}
+
+// checkSilence ends the exchange when later ones on other connections to the
+// target had their replies: the target works, so the connection does not.
+func (x *exchange) checkSilence(period time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended {
+		return
+	}
+	if !x.pool.overtaken(x.started) {
+		x.silence.Reset(period)
+		return
+	}
 	x.silent = true
-	x.mu.Unlock()
 	x.client.metrics.SilentConnection()
 	// Connections without a reply since then may have gone silent with this one.
 	x.pool.dropIdle(x.started)
 	x.interrupt()
 }
 
+// endSilenceWatch ends the checks and reports whether one found the connection
+// silent.
+func (x *exchange) endSilenceWatch() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ended = true
+	if x.silence != nil {
+		x.silence.Stop()
+	}
+	return x.silent
+}
+
 func (x *exchange) readReply() (code int, body []byte, reusable bool, err error) {
 	x.conn.allow(MaxReplyBytes)
 	resp, err := http.ReadResponse(x.conn.reader, nil)
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -44,8 +44,9 @@
 	limit int
 	// waiters are served first come, first served. Guarded by mu.
 	waiters []chan *conn
-	// lastReply is the time of the last reply on any connection. Guarded by mu.
-	lastReply time.Time
+	// replied holds the latest send times of exchanges that had a reply, in
+	// descending order. Guarded by mu.
+	replied [silenceEvidence]time.Time
 	// pacer spaces the dials that add connections. Guarded by mu.
 	pacer *connshare.Pacer
 	// closed is set when the target left the sheet. Guarded by mu.
@@ -235,20 +236,30 @@
 	w <- nil
 }
 
-// replied records a reply at now.
-func (p *pool) replied(now time.Time) {
+// silenceEvidence is the number of exchanges that were sent later and had their
+// reply before a connection counts as silent. A slow target overtakes itself now
+// and then; three times in a row is rare.
+const silenceEvidence = 3
+
+// noteReply records the reply of an exchange that was sent at the given time.
+func (p *pool) noteReply(sent time.Time) {
 	p.mu.Lock()
-	if now.After(p.lastReply) {
-		p.lastReply = now
+	defer p.mu.Unlock()
+	for i := range p.replied {
+		if sent.After(p.replied[i]) {
+			copy(p.replied[i+1:], p.replied[i:])
+			p.replied[i] = sent
+			return
+		}
 	}
-	p.mu.Unlock()
 }
 
-// repliedSince reports whether any connection had a reply after t.
-func (p *pool) repliedSince(t time.Time) bool {
+// overtaken reports whether enough exchanges that were sent after t had their
+// reply.
+func (p *pool) overtaken(t time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lastReply.After(t)
+	return p.replied[silenceEvidence-1].After(t)
 }
 
 // dropIdle closes the idle connections whose last reply came before t.
