Spend the hedge budget by the budget left and the query's progress

Cause: the first rule moved the delay linearly with the budget left and knew nothing of the query. A stall in a small service with three targets used up the burst of 100. Change: the late part that may be hedged moves by its logarithm, the burst is 300, a hedge is sent only when the budget pays for all outstanding sub-requests of the query, and a query of which most sub-requests are late gets none.

--- a/coordination/hedge/hedge.go
+++ b/coordination/hedge/hedge.go
@@ -17,14 +17,14 @@
 	// 1. Zero turns hedging off. The default is 0.05.
 	BudgetRatio float64
 	// Burst is the largest number of hedges that unused budget pays for at once.
-	// The default is 100.
+	// The default is 300: 4 queries of 68 sub-requests.
 	Burst float64
 	// Quantile is the quantile of the recent latency after which a hedge is sent
 	// while the budget is full. The default is 0.95.
 	Quantile float64
 	// ScarceQuantile is used while the budget is empty, so that the last hedges
-	// go to the latest sub-requests. Between empty and full the allowed part of
-	// late sub-requests is interpolated. The default is 0.999.
+	// go to the latest sub-requests. In between, the delay moves from one to the
+	// other. The default is 0.999.
 	ScarceQuantile float64
 	// MinDelay and MaxDelay bound the delay. The defaults are 1 ms and 1 s.
 	MinDelay, MaxDelay time.Duration
@@ -45,7 +45,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		BudgetRatio:    0.05,
-		Burst:          100,
+		Burst:          300,
 		Quantile:       0.95,
 		ScarceQuantile: 0.999,
 		MinDelay:       time.Millisecond,
@@ -67,9 +67,11 @@
 	Send Verdict = iota
 	// Wait asks for another Decide after Decision.Wait.
 	Wait
-	// Slow refuses because the whole service is slow.
+	// Slow refuses because the whole service is slow: its recent median, or most
+	// of the query's sub-requests.
 	Slow
-	// Exhausted refuses because the budget is spent.
+	// Exhausted refuses because the budget does not pay for all outstanding
+	// sub-requests of the query.
 	Exhausted
 	// Off refuses because the budget ratio is zero.
 	Off
--- a/coordination/hedge/tracker.go
+++ b/coordination/hedge/tracker.go
@@ -18,6 +18,8 @@
 	// quantileSteps is the number of quantiles cached between Quantile and
 	// ScarceQuantile.
 	quantileSteps = 8
+	// minFanout is the fan-out from which one query shows a slow service.
+	minFanout = 8
 	// minSlowWeight is the least number of recent samples that prove slowness.
 	minSlowWeight = 10
 	// slowPart is the part of recent samples above a value at which the median
@@ -103,16 +105,25 @@
 	if !p.Repeated {
 		t.count(now, p.Age)
 	}
-	if t.SlowService() {
+	if t.SlowService() || p.mostlyLate() {
 		return Decision{Verdict: Slow, Wait: delay}
 	}
-	if t.tokens < 1 {
+	// A query ends with its slowest sub-request, so that hedges for only some of
+	// its late ones are wasted.
+	if t.tokens < float64(max(p.Outstanding, 1)) {
 		return Decision{Verdict: Exhausted, Wait: delay}
 	}
 	t.tokens--
 	return Decision{Verdict: Send}
 }
 
+// mostlyLate reports whether most sub-requests of a query have no answer when
+// the first of them reaches its delay. Then the service is slow, or this entry
+// was; the recent median shows it only later.
+func (p Progress) mostlyLate() bool {
+	return p.Fanout >= minFanout && float64(p.Outstanding) > slowPart*float64(p.Fanout)
+}
+
 // SlowService reports whether the median of the last second is above SlowFactor
 // x the long-term median. Unanswered sub-requests that reached their delay count
 // with their age.
@@ -127,7 +138,7 @@
 // first MinSamples latencies.
 func (t *Tracker) LongTermMedian() time.Duration { return t.longTermMedian }
 
-// delay interpolates between the scarce and the normal quantile.
+// delay returns the cached delay for the budget that is left.
 func (t *Tracker) delay() time.Duration {
 	fill := 1.0
 	if t.settings.Burst > 0 {
@@ -173,13 +184,19 @@
 		return
 	}
 	for i := range t.delays {
-		part := float64(i) / quantileSteps
-		q := t.settings.ScarceQuantile + part*(t.settings.Quantile-t.settings.ScarceQuantile)
-		t.delays[i] = t.clamp(t.quantile(q))
+		t.delays[i] = t.clamp(t.quantile(t.quantileAt(float64(i) / quantileSteps)))
 	}
 	t.learnMedian(now, elapsed)
 }
 
+// quantileAt returns the quantile for a budget of which a part is left. The
+// allowed part of late sub-requests, 1 - quantile, is interpolated by its
+// logarithm.
+func (t *Tracker) quantileAt(left float64) float64 {
+	normal, scarce := 1-t.settings.Quantile, 1-t.settings.ScarceQuantile
+	return 1 - math.Pow(normal, left)*math.Pow(scarce, 1-left)
+}
+
 // learnMedian moves the long-term median. Until LongTerm has passed it is the
 // mean over the time since the start.
 func (t *Tracker) learnMedian(now, elapsed time.Duration) {
