Compute the hedge quantiles in one pass over one histogram

Cause: every 100 ms one sub-request merged two histograms and scanned the result ten times while the caller held the lock. Change: latencies are recorded into the window directly and all quantiles come from one scan; the window is rebuilt only when its older half is dropped.

--- a/coordination/hedge/hedge_test.go
+++ b/coordination/hedge/hedge_test.go
@@ -139,3 +139,16 @@
 		subRequest(tracker, now)
 	}
 }
+
+// BenchmarkRefresh measures the work that one sub-request per 100 ms does: the
+// quantiles of the window.
+func BenchmarkRefresh(b *testing.B) {
+	tracker, now := warm(DefaultSettings())
+	b.ReportAllocs()
+	for b.Loop() {
+		now += refreshInterval
+		for range 40 { // keeps MinSamples in the window
+			tracker.Observe(now, 50*ms)
+		}
+	}
+}
--- a/coordination/hedge/tracker.go
+++ b/coordination/hedge/tracker.go
@@ -32,11 +32,13 @@
 	settings Settings
 	tokens   float64
 
-	// current counts the running half of the window, previous the half before.
-	current, previous, merged *hdrhistogram.Histogram
-	rotatedAt, refreshedAt    time.Duration
+	// window counts the last half to whole Window, current its newer half.
+	window, current        *hdrhistogram.Histogram
+	rotatedAt, refreshedAt time.Duration
 
-	// delays caches the delays from an empty (0) to a full budget.
+	// percentiles holds 50 and the percentiles of delays, in rising order.
+	percentiles [quantileSteps + 2]float64
+	// delays caches the delays from a full (0) to an empty budget.
 	delays [quantileSteps + 1]time.Duration
 
 	longTermMedian time.Duration
@@ -52,16 +54,17 @@
 	t := &Tracker{
 		settings:    s,
 		tokens:      s.Burst,
+		window:      newHistogram(),
 		current:     newHistogram(),
-		previous:    newHistogram(),
-		merged:      newHistogram(),
 		rotatedAt:   now,
 		refreshedAt: now,
 		startedAt:   now,
 		countedAt:   now,
 	}
+	t.percentiles[0] = 50
 	for i := range t.delays {
 		t.delays[i] = t.clamp(s.InitialDelay)
+		t.percentiles[i+1] = 100 * t.quantileAt(1-float64(i)/quantileSteps)
 	}
 	return t
 }
@@ -82,7 +85,9 @@
 func (t *Tracker) Observe(now, latency time.Duration) {
 	t.refresh(now)
 	// The value is in range, so that RecordValue cannot fail.
-	_ = t.current.RecordValue(min(max(latency.Microseconds(), 0), highestLatency))
+	value := min(max(latency.Microseconds(), 0), highestLatency)
+	_ = t.window.RecordValue(value)
+	_ = t.current.RecordValue(value)
 	t.count(now, latency)
 }
 
@@ -140,11 +145,11 @@
 
 // delay returns the cached delay for the budget that is left.
 func (t *Tracker) delay() time.Duration {
-	fill := 1.0
+	spent := 0.0
 	if t.settings.Burst > 0 {
-		fill = t.tokens / t.settings.Burst
+		spent = 1 - t.tokens/t.settings.Burst
 	}
-	return t.delays[int(math.Round(fill*quantileSteps))]
+	return t.delays[int(math.Round(spent*quantileSteps))]
 }
 
 func (t *Tracker) clamp(d time.Duration) time.Duration {
@@ -172,21 +177,26 @@
 		return
 	}
 	t.refreshedAt = now
-	t.merged.Reset()
-	t.merged.Merge(t.current)
-	t.merged.Merge(t.previous)
 	if now-t.rotatedAt >= t.settings.Window/2 {
-		t.current, t.previous = t.previous, t.current
-		t.current.Reset()
-		t.rotatedAt = now
+		t.rotate(now)
 	}
-	if t.merged.TotalCount() < t.settings.MinSamples {
+	if t.window.TotalCount() < t.settings.MinSamples {
 		return
 	}
-	for i := range t.delays {
-		t.delays[i] = t.clamp(t.quantile(t.quantileAt(float64(i) / quantileSteps)))
+	values := t.window.ValueAtPercentilesSlice(t.percentiles[:])
+	median := time.Duration(values[0]) * time.Microsecond
+	for i, v := range values[1:] {
+		t.delays[i] = t.clamp(time.Duration(v) * time.Microsecond)
 	}
-	t.learnMedian(now, elapsed)
+	t.learnMedian(now, elapsed, median)
+}
+
+// rotate drops the older half of the window.
+func (t *Tracker) rotate(now time.Duration) {
+	t.window.Reset()
+	t.window.Merge(t.current)
+	t.current.Reset()
+	t.rotatedAt = now
 }
 
 // quantileAt returns the quantile for a budget of which a part is left. The
@@ -199,8 +209,7 @@
 
 // learnMedian moves the long-term median. Until LongTerm has passed it is the
 // mean over the time since the start.
-func (t *Tracker) learnMedian(now, elapsed time.Duration) {
-	median := t.quantile(slowPart)
+func (t *Tracker) learnMedian(now, elapsed, median time.Duration) {
 	if t.longTermMedian == 0 {
 		t.longTermMedian = median
 		return
@@ -209,7 +218,3 @@
 	part := min(float64(elapsed)/float64(scale), 1)
 	t.longTermMedian += time.Duration(part * float64(median-t.longTermMedian))
 }
-
-func (t *Tracker) quantile(q float64) time.Duration {
-	return time.Duration(t.merged.ValueAtQuantile(q*100)) * time.Microsecond
-}
