--- a/coordination/hedge/tracker.go
+++ b/coordination/hedge/tracker.go
@@ -18,6 +18,8 @@
 	// quantileSteps is the number of quantiles cached between Quantile and
 	// ScarceQuantile.
 	quantileSteps = 8
+	// minFanout is the fan-out from which one query shows a slow service.
+	minFanout = 8
 	// minSlowWeight is the least number of recent samples that prove slowness.
 	minSlowWeight = 10
 	// slowPart is the part of recent samples above a value at which the median
@@ -30,11 +32,13 @@
 	settings Settings
 	tokens   float64
 
-	// current counts the running half of the window, previous the half before.
-	current, previous, merged *hdrhistogram.Histogram
-	rotatedAt, refreshedAt    time.Duration
+	// window counts the last half to whole Window, current its newer half.
+	window, current        *hdrhistogram.Histogram
+	rotatedAt, refreshedAt time.Duration
 
-	// delays caches the delays from an empty (0) to a full budget.
+	// percentiles holds 50 and the percentiles of delays, in rising order.
+	percentiles [quantileSteps + 2]float64
+	// delays caches the delays from a full (0) to an empty budget.
 	delays [quantileSteps + 1]time.Duration
 
 	longTermMedian time.Duration
@@ -50,16 +54,17 @@
 	t := &Tracker{
 		settings:    s,
 		tokens:      s.Burst,
+		window:      newHistogram(),
 		current:     newHistogram(),
-		previous:    newHistogram(),
-		merged:      newHistogram(),
 		rotatedAt:   now,
 		refreshedAt: now,
 		startedAt:   now,
 		countedAt:   now,
 	}
+	t.percentiles[0] = 50
 	for i := range t.delays {
 		t.delays[i] = t.clamp(s.InitialDelay)
+		t.percentiles[i+1] = 100 * t.quantileAt(1-float64(i)/quantileSteps)
 	}
 	return t
 }
@@ -80,7 +85,9 @@
 func (t *Tracker) Observe(now, latency time.Duration) {
 	t.refresh(now)
 	// The value is in range, so that RecordValue cannot fail.
-	_ = t.current.RecordValue(min(max(latency.Microseconds(), 0), highestLatency))
+	value := min(max(latency.Microseconds(), 0), highestLatency)
+	_ = t.window.RecordValue(value)
+	_ = t.current.RecordValue(value)
 	t.count(now, latency)
 }
 
@@ -103,16 +110,25 @@
 	if !p.Repeated {
 		t.count(now, p.Age)
 	}
-	if t.SlowService() {
+	if t.SlowService() || p.mostlyLate() {
 		return Decision{Verdict: Slow, Wait: delay}
 	}
-	if t.tokens < 1 {
+	// A query ends with its slowest sub-request, so that hedges for only some of
+	// its late ones are wasted.
+	if t.tokens < float64(max(p.Outstanding, 1)) {
 		return Decision{Verdict: Exhausted, Wait: delay}
 	}
 	t.tokens--
 	return Decision{Verdict: Send}
 }
 
+// mostlyLate reports whether most sub-requests of a query have no answer when
+// the first of them reaches its delay. Then the service is slow, or this entry
+// was; the recent median shows it only later.
+func (p Progress) mostlyLate() bool {
+	return p.Fanout >= minFanout && float64(p.Outstanding) > slowPart*float64(p.Fanout)
+}
+
 // SlowService reports whether the median of the last second is above SlowFactor
 // x the long-term median. Unanswered sub-requests that reached their delay count
 // with their age.
@@ -127,13 +143,13 @@
 // first MinSamples latencies.
 func (t *Tracker) LongTermMedian() time.Duration { return t.longTermMedian }
 
-// delay interpolates between the scarce and the normal quantile.
+// delay returns the cached delay for the budget that is left.
 func (t *Tracker) delay() time.Duration {
-	fill := 1.0
+	spent := 0.0
 	if t.settings.Burst > 0 {
-		fill = t.tokens / t.settings.Burst
+		spent = 1 - t.tokens/t.settings.Burst
 	}
-	return t.delays[int(math.Round(fill*quantileSteps))]
+	return t.delays[int(math.Round(spent*quantileSteps))]
 }
 
 func (t *Tracker) clamp(d time.Duration) time.Duration {
@@ -161,29 +177,39 @@
 		return
 	}
 	t.refreshedAt = now
-	t.merged.Reset()
-	t.merged.Merge(t.current)
-	t.merged.Merge(t.previous)
 	if now-t.rotatedAt >= t.settings.Window/2 {
-		t.current, t.previous = t.previous, t.current
-		t.current.Reset()
-		t.rotatedAt = now
+		t.rotate(now)
 	}
-	if t.merged.TotalCount() < t.settings.MinSamples {
+	if t.window.TotalCount() < t.settings.MinSamples {
 		return
 	}
-	for i := range t.delays {
-		part := float64(i) / quantileSteps
-		q := t.settings.ScarceQuantile + part*(t.settings.Quantile-t.settings.ScarceQuantile)
-		t.delays[i] = t.clamp(t.quantile(q))
+	values := t.window.ValueAtPercentilesSlice(t.percentiles[:])
+	median := time.Duration(values[0]) * time.Microsecond
+	for i, v := range values[1:] {
+		t.delays[i] = t.clamp(time.Duration(v) * time.Microsecond)
 	}
-	t.learnMedian(now, elapsed)
+	t.learnMedian(now, elapsed, median)
+}
+
+// rotate drops the older half of the window.
+func (t *Tracker) rotate(now time.Duration) {
+	t.window.Reset()
+	t.window.Merge(t.current)
+	t.current.Reset()
+	t.rotatedAt = now
+}
+
+// quantileAt returns the quantile for a budget of which a part is left. The
+// allowed part of late sub-requests, 1 - quantile, is interpolated by its
+// logarithm.
+func (t *Tracker) quantileAt(left float64) float64 {
+	normal, scarce := 1-t.settings.Quantile, 1-t.settings.ScarceQuantile
+	return 1 - math.Pow(normal, left)*math.Pow(scarce, 1-left)
 }
 
 // learnMedian moves the long-term median. Until LongTerm has passed it is the
 // mean over the time since the start.
-func (t *Tracker) learnMedian(now, elapsed time.Duration) {
-	median := t.quantile(slowPart)
+func (t *Tracker) learnMedian(now, elapsed, median time.Duration) {
 	if t.longTermMedian == 0 {
 		t.longTermMedian = median
 		return
@@ -192,7 +218,3 @@
 	part := min(float64(elapsed)/float64(scale), 1)
 	t.longTermMedian += time.Duration(part * float64(median-t.longTermMedian))
 }
-
-func (t *Tracker) quantile(q float64) time.Duration {
-	return time.Duration(t.merged.ValueAtQuantile(q*100)) * time.Microsecond
-}
