Cap admission by slots and count the wait against the contract

Cause: under a crest of three times the capacity the entries admitted 36 queries where the targets' slots take 9; targets shed, and most answers were partial. Change: the entry and each service are capped by this entry's part of the targets' slots; a request waits in admission only as long as the contracted latency still allows.

--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -66,6 +66,10 @@
 	return s
 }
 
+// SetMaxLimit changes the upper bound of the number of requests that run at once
+// at this entry.
+func (c *Controller) SetMaxLimit(most float64) { c.limiter.setMost(c.settings.MinLimit, most) }
+
 // RemoveService removes a service. Next hands out its waiting requests as
 // refused; the ones that run still need Release.
 func (c *Controller) RemoveService(name string) {
--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -18,7 +18,10 @@
 	ticket := &admission.Ticket{}
 	decided := make(chan admission.Decision, 1)
 	ticket.Owner = decided
-	deadline := l.now() + time.Until(req.deadline)
+	// A request that waits past the contracted latency takes the place of one that
+	// could still be answered in time.
+	contract := time.Duration(req.service.Latency.ContractMS) * time.Millisecond
+	deadline := l.now() + min(time.Until(req.deadline), contract)
 
 	l.admitMu.Lock()
 	decision := l.admission.Offer(l.now(), globalRand{}, s.admission, deadline, ticket)
--- a/internal/entry/loaded.go
+++ b/internal/entry/loaded.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -78,10 +79,11 @@
 }
 
 // admissionSettings lets the limits fall to one request: with 9 entries and
-// targets of 3 slots an entry's part of a service is about one request.
+// targets of 3 slots an entry's part of a service is about one request. So few
+// requests need a short window of samples.
 func admissionSettings() admission.Settings {
 	s := admission.DefaultSettings()
-	s.MinLimit, s.MinServiceLimit = 1, 1
+	s.MinLimit, s.MinServiceLimit, s.MinSamples = 1, 1, 8
 	return s
 }
 
@@ -93,36 +95,47 @@
 	return s
 }
 
-// slotFactor is the number of requests per slot that an entry admits at most: one
-// that runs and one that waits at the target.
-const slotFactor = 2
+// slotFactor is the number of sub-requests per slot that the entries together
+// admit at most. The part above one keeps the slots busy while replies travel and
+// leaves room for entries that get more than an even part of the requests.
+const slotFactor = 1.5
+
+// shareOf returns how many queries of the given number of sub-requests this
+// entry may run at once on its part of the slots.
+func shareOf(slots, shards, entries int) int {
+	if shards == 0 {
+		return 1
+	}
+	return max(int(math.Ceil(slotFactor*float64(slots)/float64(shards*entries))), 1)
+}
 
 // maxConcurrency bounds the running requests of a service by this entry's part
 // of its targets' slots.
 func maxConcurrency(p *plan, svc *sheet.Service, entries int) int {
-	idx := p.indexes[svc.Name]
-	if idx == nil || len(idx.Snapshots) == 0 || svc.Repeat.Rule == sheet.AtMostOnce {
+	if svc.Repeat.Rule == sheet.AtMostOnce {
 		return svc.Limits.MaxConcurrency
 	}
-	slots, shards := 0, 0
-	for i := range idx.Snapshots {
-		s := &idx.Snapshots[i]
-		seen := map[string]bool{}
-		for _, replicas := range s.Shards {
-			for _, id := range replicas {
-				if t := p.targets[id]; t != nil && !seen[id] {
-					seen[id] = true
-					slots += t.Slots
-				}
-			}
+	slots, shards := p.capacity(svc.Name)
+	return min(shareOf(slots, shards, entries), svc.Limits.MaxConcurrency)
+}
+
+// maxEntryConcurrency bounds the running requests of all services. Services that
+// share targets share the slots.
+func maxEntryConcurrency(p *plan, entries int) int {
+	slots, shards, services := 0, 0, 0
+	for _, t := range p.targets {
+		slots += t.Slots
+	}
+	for name, svc := range p.services {
+		if n := p.shards(name); n > 0 && svc.Repeat.Rule != sheet.AtMostOnce {
+			shards += n
+			services++
 		}
-		shards += len(s.Shards)
 	}
-	if shards == 0 {
-		return svc.Limits.MaxConcurrency
+	if services == 0 {
+		return int(admission.DefaultSettings().MaxLimit)
 	}
-	share := (slotFactor*slots + shards*entries - 1) / (shards * entries)
-	return min(max(share, 1), svc.Limits.MaxConcurrency)
+	return shareOf(slots, max(shards/services, 1), entries)
 }
 
 func (l *loaded) now() time.Duration { return l.self.clock() }
@@ -137,6 +150,7 @@
 	next := make(map[string]*serviceState, len(p.services))
 	l.admitMu.Lock()
 	defer l.admitMu.Unlock()
+	l.admission.SetMaxLimit(float64(maxEntryConcurrency(p, entries)))
 	for name, svc := range p.services {
 		state := (*old)[name]
 		if state == nil {
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -51,6 +51,42 @@
 	return p
 }
 
+// shards returns the number of shards of the newest snapshot of a service.
+func (p *plan) shards(service string) int {
+	idx := p.indexes[service]
+	if idx == nil || len(idx.Snapshots) == 0 {
+		return 0
+	}
+	newest := &idx.Snapshots[0]
+	for i := range idx.Snapshots {
+		if idx.Snapshots[i].Newer(newest.Snapshot) {
+			newest = &idx.Snapshots[i]
+		}
+	}
+	return len(newest.Shards)
+}
+
+// capacity returns the slots of all targets that hold a shard of a service, and
+// the number of its shards.
+func (p *plan) capacity(service string) (slots, shards int) {
+	idx := p.indexes[service]
+	if idx == nil {
+		return 0, 0
+	}
+	seen := map[string]bool{}
+	for i := range idx.Snapshots {
+		for _, replicas := range idx.Snapshots[i].Shards {
+			for _, id := range replicas {
+				if t := p.targets[id]; t != nil && !seen[id] {
+					seen[id] = true
+					slots += t.Slots
+				}
+			}
+		}
+	}
+	return slots, p.shards(service)
+}
+
 // authenticate returns the caller with the given bearer key.
 func (p *plan) authenticate(key string) (*sheet.Caller, error) {
 	digest := sha256.Sum256([]byte(key))
