Show the same document digest as the entries

balsam-ctl sheet check hashed the file with its white space, while entries hash the compact form, so an operator could not find a file in the audit trail. document.Digest now hashes the compact form. The examples name the event kinds that entries record. go test -race ./protocol/... ./internal/ctl ./internal/load passes.

--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -25,7 +25,7 @@
 
 // Help implements kong.HelpProvider.
 func (*AuditCommand) Help() string {
-	return "Examples:\n\n  balsam-ctl audit --entry 127.0.0.1:17012 --kind sheet_accepted,sheet_refused\n\n" +
+	return "Examples:\n\n  balsam-ctl audit --entry 127.0.0.1:17012 --kind document_accepted,document_refused\n\n" +
 		"  balsam-ctl audit --entry 127.0.0.1:17012,127.0.0.1:17022 --since 15m --json\n\n" +
 		"Events of several entries are merged by time. " + exitCodes
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -114,9 +114,9 @@
 	})))
 	now := time.Now()
 	mux.HandleFunc("GET "+adminapi.AuditPath, protected(reply(http.StatusOK, adminapi.Audit{Events: []adminapi.Event{
-		{Sequence: 1, Kind: "sheet_accepted", Actor: "platform", Detail: "revision 6", Time: now.Add(-time.Hour)},
-		{Sequence: 2, Kind: "drain", Actor: "operator", Time: now},
-		{Sequence: 3, Kind: "sheet_accepted", Actor: "entry-2", Detail: "revision 7", Time: now},
+		{Sequence: 1, Kind: "document_accepted", Actor: "platform", Detail: "revision 6", Time: now.Add(-time.Hour)},
+		{Sequence: 2, Kind: "drain_started", Actor: "operator", Time: now},
+		{Sequence: 3, Kind: "document_accepted", Actor: "entry-2", Detail: "revision 7", Time: now},
 	}})))
 	mux.HandleFunc("POST "+adminapi.DrainPath, protected(reply(http.StatusAccepted, nil)))
 	mux.HandleFunc("POST "+callerapi.SearchPath, func(w http.ResponseWriter, r *http.Request) {
@@ -155,13 +155,13 @@
 	address := fakeEntry(t)
 	for args, want := range map[string]int{
 		"":                                      3,
-		"--kind sheet_accepted":                 2,
-		"--kind sheet_accepted --since 1m":      1,
+		"--kind document_accepted":              2,
+		"--kind document_accepted --since 1m":   1,
 		"--actor operator":                      1,
 		"--match revision":                      2,
 		"--limit 1":                             1,
-		"--kind drain --match revision":         0,
-		"--kind drain,sheet_accepted --limit 2": 2,
+		"--kind drain_started --match revision": 0,
+		"--kind drain_started,document_accepted --limit 2": 2,
 	} {
 		code, out, _ := run(append([]string{"audit", "--json", "--entry", address}, strings.Fields(args)...)...)
 		is.Equal(code, cli.ExitOK)
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -58,8 +58,16 @@
 	return strings.Join(lines, "\n")
 }
 
-// Digest returns the SHA-256 digest of a document's bytes.
-func Digest(data []byte) [sha256.Size]byte { return sha256.Sum256(data) }
+// Digest returns the SHA-256 digest of a document in compact form, as entries
+// show it: white space between tokens does not change it. The bytes of data that
+// is not JSON are taken as they are.
+func Digest(data []byte) [sha256.Size]byte {
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, data); err != nil {
+		return sha256.Sum256(data)
+	}
+	return sha256.Sum256(compact.Bytes())
+}
 
 // Decode reads data into dst. It refuses documents above MaxSize, unknown
 // fields, wrong types and trailing data. Every error is an *Error.
--- a/protocol/index/check.go
+++ b/protocol/index/check.go
@@ -30,7 +30,7 @@
 	return &d, nil
 }
 
-// Digest returns the SHA-256 digest of an index document's bytes.
+// Digest returns the SHA-256 digest of an index document in compact form.
 func Digest(data []byte) [sha256.Size]byte { return document.Digest(data) }
 
 // Check returns every fault that shows without a sheet, in the order of the
--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -44,7 +44,7 @@
 	return &s, nil
 }
 
-// Digest returns the SHA-256 digest of a sheet's bytes.
+// Digest returns the SHA-256 digest of a sheet in compact form.
 func Digest(data []byte) [sha256.Size]byte { return document.Digest(data) }
 
 // Check returns every fault of the sheet, in the order of the fields.
--- a/protocol/sheet/check_test.go
+++ b/protocol/sheet/check_test.go
@@ -72,6 +72,16 @@
 	}
 }
 
+// Guards against a digest that differs from the entries' for the same sheet,
+// which the platform publishes in compact form.
+func TestDigestIgnoresWhiteSpace(t *testing.T) {
+	is := is.New(t)
+	var compact bytes.Buffer
+	is.NoErr(json.Compact(&compact, demoSheet(t)))
+	is.Equal(Digest(demoSheet(t)), Digest(compact.Bytes()))
+	is.True(Digest([]byte(`{"revision":1}`)) != Digest([]byte(`{"revision":2}`)))
+}
+
 // Guards against misspelt fields, oversized documents and trailing data being
 // accepted, and against errors of another type.
 func TestParseRefusesFaultyDocuments(t *testing.T) {
