--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -476,3 +476,33 @@
 		})
 	}
 }
+
+// Guards F6 and P8: the side of a partition that reaches the platform goes on
+// with new sheets, the other side keeps what it has, restarted entries included,
+// and both agree on the highest revision when they join.
+func TestPartitionedSidesKeepTheirSheetAndJoin(t *testing.T) {
+	is := is.New(t)
+	w, fleet := startFleet(t)
+	for _, a := range fleetIDs[:3] {
+		for _, b := range fleetIDs[3:] {
+			w.setCut(a, b, true)
+		}
+	}
+	for _, id := range fleetIDs[3:] {
+		w.fail(id, status.New(status.Unavailable, "", "platform is cut off"))
+	}
+	w.publish(platformapi.SheetKey, sheetOf(2, "second"))
+	allReach(t, fleet[:3], 2)
+	w.stop(fleet[4])
+	fleet[4] = w.start(t, "f1", fleetIDs...)
+	allReach(t, fleet[3:], 1)
+	for _, e := range fleet[3:] {
+		is.True(e.Ready())
+	}
+	for _, a := range fleetIDs[:3] {
+		for _, b := range fleetIDs[3:] {
+			w.setCut(a, b, false)
+		}
+	}
+	allReach(t, fleet, 2) // The platform is still cut off from one side.
+}
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -265,3 +265,42 @@
 		}
 	}
 }
+
+// Guards F6: both sides of a partition serve searches and the permits that they
+// issued; permits of the other side are refused as unknown; after the join they
+// run once or are replayed.
+func TestPartitionServesBothSides(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 4, 4)
+	setCut := func(cut bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, a := range []int{0, 1} {
+			for _, b := range []int{2, 3} {
+				f.cut[[2]string{entryName(a), entryName(b)}] = cut
+				f.cut[[2]string{entryName(b), entryName(a)}] = cut
+			}
+		}
+	}
+	permits := make([]string, 4)
+	for n := range permits {
+		permits[n] = f.permit(n, testKeyAsan, fmt.Sprintf("fetch %d", n))
+	}
+	setCut(true)
+	for n := range permits {
+		near := n ^ 1 // The other entry of the same side.
+		far := n ^ 2
+		query := fmt.Sprintf("fetch %d", n)
+		is.Equal(f.search(far, testKeyAsan, once(query, permits[n])).fault.Outcome, status.Unknown)
+		is.Equal(f.search(near, testKeyAsan, once(query, permits[n])).status, http.StatusOK)
+		is.Equal(f.search(n, testKeyAsan, quote("clamp")).status, http.StatusOK)
+	}
+	setCut(false)
+	for n := range permits {
+		for i := range permits {
+			is.True(f.search(i, testKeyAsan, once(fmt.Sprintf("fetch %d", n), permits[n])).answer.Replayed)
+		}
+		query := fmt.Sprintf("fetch %d", n)
+		is.Equal(f.targets.runs(func(r targetapi.SearchRequest) bool { return r.Query == query }), 1)
+	}
+}
