--- a/internal/entry/canary.go
+++ b/internal/entry/canary.go
@@ -80,7 +80,8 @@
 	q.engine.guard.ended(q.fingerprint, answered)
 }
 
-// crashed goes on after a target crashed during an attempt of sub-request i. The sub-request runs again alone, on a target that the request has not met.
+// crashed goes on after a target crashed during an attempt of sub-request i. The
+// sub-request runs again alone, on a target that the request has not met.
 func (q *query) crashed(i int, refused bool) {
 	if i == q.trial {
 		q.endTrial(false)
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -213,6 +213,11 @@
 		// A partial answer at the present snapshot beats another partial one.
 		return false
 	}
+	if q.canary == none {
+		// The sub-request of the trial belongs to the first plan.
+		q.endTrial(false)
+		q.held = nil
+	}
 	return q.plan(ctx) == nil
 }
 
