Test the history model's rules and the permit's length bound

The model was checked only through whole histories, where one rule can hide the loss of another. No test failed when the length bound of permits was removed.

Add a test with one violation for each rule of the model, and a signed permit above the length bound to FuzzVerify. Move the in-process fleet from the test file to internal/history/faketier, so that process-level tests can use it too.

--- a/coordination/permit/permit_test.go
+++ b/coordination/permit/permit_test.go
@@ -1,6 +1,7 @@
 package permit_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strings"
@@ -85,6 +86,8 @@
 	for _, seed := range []string{"", ".", valid, alias, valid + "\n", strings.Repeat("A", permit.MaxTokenLength+1)} {
 		f.Add(seed, []byte(`{"i":"","q":"`+strings.Repeat("A", 43)+`="}`))
 	}
+	// The end of a token that is too long must not be looked at, even when it is signed.
+	f.Add("", append(bytes.Repeat([]byte(" "), permit.MaxTokenLength), permit.PayloadForTest(valid)...))
 	f.Fuzz(func(t *testing.T, token string, payload []byte) {
 		if _, err := signer.Verify(token, use); err != nil {
 			requireInvalid(t, err)
@@ -92,7 +95,8 @@
 			t.Fatalf("forged permit %q accepted", token)
 		}
 		// A signed payload reaches the decoder of the claims.
-		if _, err := signer.Verify(permit.SignForTest(signer, payload), use); err != nil {
+		signed := permit.SignForTest(signer, payload)
+		if _, err := signer.Verify(signed, use); err != nil || len(signed) > permit.MaxTokenLength {
 			requireInvalid(t, err)
 		}
 	})
--- a/internal/history/atmostonce_test.go
+++ b/internal/history/atmostonce_test.go
@@ -1,310 +1,19 @@
 package history_test
 
 import (
-	"context"
-	"fmt"
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"testing"
-	"time"
 
+	"github.com/matryer/is"
 	"go.uber.org/goleak"
-	"golang.org/x/sync/errgroup"
 
-	"github.com/balsamstall/balsamstall/coordination/permit"
 	"github.com/balsamstall/balsamstall/internal/history"
-	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/internal/history/faketier"
 	"github.com/balsamstall/balsamstall/protocol/status"
-	"github.com/balsamstall/balsamstall/state/journal"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// fault is a mechanism that a test turns off.
-type fault int
-
-const (
-	none fault = iota
-	alwaysStart
-	releaseAfterLostReply
-	emptyHandover
-	growingWindow
-)
-
-const (
-	window  = 300 // clock ticks
-	workers = 12
-	uses    = 40
-	entries = 3
-	query   = "drawing 8814"
-)
-
-// issuer is one incarnation of an entry, built from the real packages.
-type issuer struct {
-	entry     int
-	inc       ids.Incarnation
-	start     int64
-	journal   *journal.Journal
-	inherited *journal.Inherited
-	killed    atomic.Bool
-	// gate is write-locked while the process is frozen.
-	gate sync.RWMutex
-}
-
-// tier is a fleet of entries with a forwarder and a target that records what ran.
-type tier struct {
-	fault    fault
-	signer   *permit.Signer
-	clock    atomic.Int64
-	sequence atomic.Uint64
-	recorder history.Recorder
-
-	mu sync.Mutex
-	// current, successor and permits are guarded by mu.
-	current   [entries]*issuer
-	successor map[ids.Incarnation]*issuer
-	permits   []string
-}
-
-func (t *tier) newIssuer(entry int) *issuer {
-	return &issuer{entry: entry, inc: ids.NewIncarnation(), start: t.clock.Load(), journal: journal.New(2), inherited: journal.NewInherited()}
-}
-
-func (t *tier) now(i *issuer) time.Duration { return time.Duration(t.clock.Add(1) - i.start) }
-
-func (t *tier) get(entry int) *issuer {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.current[entry]
-}
-
-func (t *tier) issue(i *issuer) {
-	token := t.signer.Issue(permit.Claims{Issuer: i.inc, Entry: fmt.Sprint(i.entry), Sequence: t.sequence.Add(1),
-		IssuedAt: t.now(i), Window: window, QueryDigest: permit.Digest(query)})
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.permits = append(t.permits, token)
-}
-
-// pause is a point at which the process may be slow, frozen or killed. It
-// reports whether the process still runs.
-func (t *tier) pause(i *issuer, r *rand.Rand) bool {
-	t.clock.Add(int64(r.IntN(3)))
-	if r.IntN(4) == 0 {
-		time.Sleep(time.Duration(r.IntN(100)) * time.Microsecond)
-	}
-	i.gate.RLock()
-	defer i.gate.RUnlock()
-	return !i.killed.Load()
-}
-
-var (
-	unknown = history.Answer{Outcome: status.Unknown}
-	notRun  = history.Answer{Outcome: status.NotRun}
-	never   = history.Answer{Outcome: status.NotRun, Final: true}
-)
-
-func answerOf(r journal.Record) history.Answer {
-	return history.Answer{Outcome: r.Outcome, Result: string(r.Body)}
-}
-
-// use presents a permit at an entry, which runs or forwards the request.
-func (t *tier) use(i *issuer, token, id string, r *rand.Rand) history.Answer {
-	claims, err := t.signer.Verify(token, permit.Use{Query: query})
-	if err != nil {
-		return notRun
-	}
-	if permit.Judge(claims, i.inc, t.now(i), 2*window) != permit.Forward {
-		return t.runHere(i, claims, token, id, r)
-	}
-	var entry int
-	fmt.Sscan(claims.Entry, &entry)
-	issuer := t.get(entry)
-	if r.IntN(8) == 0 || !t.pause(i, r) {
-		return unknown // The forwarded request is lost.
-	}
-	answer := t.forwarded(issuer, claims, token, id, r)
-	if r.IntN(8) == 0 {
-		return unknown // The reply is lost.
-	}
-	return answer
-}
-
-func (t *tier) forwarded(i *issuer, claims permit.Claims, token, id string, r *rand.Rand) history.Answer {
-	if permit.Judge(claims, i.inc, t.now(i), 2*window) != permit.Forward {
-		return t.runHere(i, claims, token, id, r)
-	}
-	t.mu.Lock()
-	heir := t.successor[claims.Issuer]
-	t.mu.Unlock()
-	if heir == nil || !t.pause(heir, r) {
-		return unknown
-	}
-	switch record, finding := heir.inherited.Lookup(claims.Issuer, claims.Sequence, claims.Expires(), t.now(heir)); finding {
-	case journal.Found:
-		return answerOf(record)
-	case journal.NoRecord:
-		return never
-	default:
-		return unknown
-	}
-}
-
-func (t *tier) runHere(i *issuer, claims permit.Claims, token, id string, r *rand.Rand) history.Answer {
-	now := t.now(i)
-	if t.fault == growingWindow && now >= claims.Expires() {
-		// A later sheet has a longer window and the permit has none of its own.
-		claims.Window = 2 * window
-	}
-	if permit.Judge(claims, i.inc, now, 2*window) != permit.Run || !t.pause(i, r) {
-		return unknown
-	}
-	for {
-		result := i.journal.Begin(claims.Sequence, now, claims.Expires())
-		if t.fault == alwaysStart {
-			result.State = journal.Started
-		}
-		switch result.State {
-		case journal.Started:
-			if !t.pause(i, r) {
-				// The waiters of a killed process must end with the test.
-				i.journal.Finish(claims.Sequence, journal.Record{Outcome: status.Unknown})
-				return unknown
-			}
-			return t.send(i, claims.Sequence, token, id, r)
-		case journal.Running:
-			if r.IntN(4) == 0 {
-				return unknown // The duplicate's own deadline passes first.
-			}
-			<-result.Done
-		case journal.Finished:
-			return answerOf(result.Record)
-		case journal.Sealed:
-			return never
-		default:
-			return unknown
-		}
-	}
-}
-
-// send makes the attempt and records its end, also for a process that was killed
-// meanwhile: its callers get no answer, but its waiters must end with the test.
-func (t *tier) send(i *issuer, seq uint64, token, id string, r *rand.Rand) history.Answer {
-	record := journal.Record{Outcome: status.Unknown}
-	switch r.IntN(6) {
-	case 0: // The target refuses.
-		alive := t.pause(i, r)
-		i.journal.Release(seq)
-		if !alive {
-			return unknown
-		}
-		return notRun
-	case 1: // The reply is lost.
-		t.recorder.Run(token, id, id)
-		if t.fault == releaseAfterLostReply {
-			i.journal.Release(seq)
-			return notRun
-		}
-	default:
-		t.recorder.Run(token, id, id)
-		record = journal.Record{Outcome: status.Done, Body: []byte(id)}
-	}
-	alive := t.pause(i, r)
-	i.journal.Finish(seq, record)
-	if !alive {
-		return unknown
-	}
-	return answerOf(record)
-}
-
-// replace kills or stops the incarnation of an entry and starts another one. A
-// stopped incarnation goes on with what it has, like one that others only
-// believe to be gone.
-func (t *tier) replace(entry int, r *rand.Rand) {
-	old, next := t.get(entry), t.newIssuer(entry)
-	heir := t.get((entry + 1) % entries)
-	if r.IntN(3) == 0 {
-		old.killed.Store(true)
-	} else {
-		old.journal.Seal()
-		if r.IntN(2) == 0 {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-			_ = old.journal.WaitIdle(ctx) // What still runs is exported as Unknown.
-			cancel()
-		}
-		now := t.now(old)
-		records, err := old.journal.Export(now)
-		if err != nil {
-			panic(err)
-		}
-		if t.fault == emptyHandover {
-			records = nil
-		}
-		heir.inherited.Import(old.inc, journal.Handover{Records: records, ExportedAt: now, PermitRemaining: window}, t.now(heir))
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.successor[old.inc] = heir
-	t.current[entry] = next
-}
-
-// disturb replaces, freezes and expires until the work is done.
-func (t *tier) disturb(done <-chan struct{}, r *rand.Rand) error {
-	for {
-		select {
-		case <-done:
-			return nil
-		case <-time.After(time.Duration(r.IntN(300)) * time.Microsecond):
-		}
-		i := t.get(r.IntN(entries))
-		switch r.IntN(4) {
-		case 0:
-			t.replace(i.entry, r)
-		case 1:
-			i.gate.Lock()
-			time.Sleep(time.Duration(r.IntN(300)) * time.Microsecond)
-			i.gate.Unlock()
-		default:
-			i.journal.Expire(t.now(i))
-		}
-	}
-}
-
-// run makes one history and checks it.
-func run(seed uint64, f fault) (operations int, err error) {
-	t := &tier{fault: f, signer: permit.NewSigner([]byte("key")), successor: map[ids.Incarnation]*issuer{}}
-	for e := range entries {
-		t.current[e] = t.newIssuer(e)
-		t.issue(t.current[e])
-	}
-	done := make(chan struct{})
-	var disturber, work errgroup.Group
-	disturber.Go(func() error { return t.disturb(done, rand.New(rand.NewPCG(seed, workers))) })
-	for w := range workers {
-		work.Go(func() error {
-			r := rand.New(rand.NewPCG(seed, uint64(w)))
-			for n := range uses {
-				i := t.get(r.IntN(entries))
-				if r.IntN(10) == 0 {
-					t.issue(i)
-				}
-				t.mu.Lock()
-				token := t.permits[max(0, len(t.permits)-1-r.IntN(6))]
-				t.mu.Unlock()
-				id := fmt.Sprintf("%d-%d", w, n)
-				answered := t.recorder.Use(token, id)
-				answered(t.use(i, token, id, r))
-			}
-			return nil
-		})
-	}
-	_ = work.Wait()
-	close(done)
-	_ = disturber.Wait()
-	return t.recorder.Len(), t.recorder.Check()
-}
-
 // Guards against a permit that runs twice and against an answer that the
 // target's record contradicts, with processes that are killed, frozen, stopped
 // and replaced, and with lost messages.
@@ -312,7 +21,7 @@
 	total := 0
 	for range 30 {
 		seed := rand.Uint64()
-		n, err := run(seed, none)
+		n, err := faketier.Run(seed, faketier.None)
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -326,14 +35,14 @@
 // 200 histories.
 func TestCheckerCatchesEachMissingMechanism(t *testing.T) {
 	const maxHistories = 200
-	for name, f := range map[string]fault{
-		"every Begin starts": alwaysStart, "a lost reply counts as not run": releaseAfterLostReply,
-		"a handover without its records": emptyHandover, "a window that a later sheet prolongs": growingWindow,
+	for name, f := range map[string]faketier.Fault{
+		"every Begin starts": faketier.AlwaysStart, "a lost reply counts as not run": faketier.ReleaseAfterLostReply,
+		"a handover without its records": faketier.EmptyHandover, "a window that a later sheet prolongs": faketier.GrowingWindow,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for n := range maxHistories {
 				seed := rand.Uint64()
-				if _, err := run(seed, f); err != nil {
+				if _, err := faketier.Run(seed, f); err != nil {
 					t.Logf("caught in history %d, seed %d", n+1, seed)
 					return
 				}
@@ -342,3 +51,37 @@
 		})
 	}
 }
+
+// Guards against a model that lost one of its rules.
+func TestModelHasEachRule(t *testing.T) {
+	is := is.New(t)
+	done := func(result string) history.Answer { return history.Answer{Outcome: status.Done, Result: result} }
+	notRun, never := history.Answer{Outcome: status.NotRun}, history.Answer{Outcome: status.NotRun, Final: true}
+	check := func(events func(r *history.Recorder)) error {
+		var r history.Recorder
+		events(&r)
+		return r.Check()
+	}
+	is.NoErr(check(func(r *history.Recorder) {
+		r.Use("p", "a")(notRun)
+		late := r.Use("p", "b") // decided before the run, told after it
+		r.Run("p", "c", "x")
+		late(notRun)
+		r.Use("p", "c")(done("x"))
+		r.Use("p", "d")(history.Answer{Outcome: status.Unknown})
+		r.Use("q", "e")(never)
+	}))
+	for name, events := range map[string]func(r *history.Recorder){
+		"second run":           func(r *history.Recorder) { r.Run("p", "a", "x"); r.Run("p", "b", "x") },
+		"done without a run":   func(r *history.Recorder) { r.Use("p", "a")(done("")) },
+		"another result":       func(r *history.Recorder) { r.Run("p", "a", "x"); r.Use("p", "a")(done("y")) },
+		"not run after a run":  func(r *history.Recorder) { r.Run("p", "a", "x"); r.Use("p", "b")(notRun) },
+		"run of a refused use": func(r *history.Recorder) { r.Use("p", "a")(notRun); r.Run("p", "a", "x") },
+		"run after never":      func(r *history.Recorder) { r.Use("p", "a")(never); r.Use("p", "b")(notRun); r.Run("p", "c", "x") },
+		"unnamed outcome":      func(r *history.Recorder) { r.Use("p", "a")(history.Answer{}) },
+	} {
+		if status.CodeOf(check(events)) != status.Internal {
+			t.Errorf("%s passes the check", name)
+		}
+	}
+}
