Test the faults that mutated decisions showed as unguarded

Cause: of 21 mutations on a scratch copy, four passed the tests: no oldest age, a hold lengthened by every failure of one crash, service limits cut for the load of the entry, and no displacement by priority. Change: tests for these four. TestServiceThatIsSlowAlone became TestLimitOfTheCauseFalls, with the same checks and the case of the entry.

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -176,6 +176,9 @@
 	refused, d := c.Next(now, rng)
 	is.Equal(refused, last)
 	is.Equal(d.Reason, Displaced)
+	is.Equal(c.Offer(now, rng, high, time.Hour, &Ticket{}).Verdict, Wait)
+	is.Equal(c.Offer(now, rng, high, time.Hour, &Ticket{}).Reason, QueueFull) // the last low one stays
+	is.Equal(low.Waiting(), 1)
 }
 
 // Guards against a limit that stays high when latency rises, or low when it
@@ -263,32 +266,39 @@
 }
 
 // Guards against one service with slow targets that takes the places of the
-// others, and against a cut of all services for the fault of one.
-func TestServiceThatIsSlowAloneLosesPlaces(t *testing.T) {
+// others, against a cut of all services for the fault of one, and against a cut
+// of every service when the entry is the cause.
+func TestLimitOfTheCauseFalls(t *testing.T) {
 	is := is.New(t)
 	settings := DefaultSettings()
-	c, rng, now := New(settings), newRand(), time.Duration(0)
-	services := [3]*Service{}
-	for i := range services {
-		services[i] = c.SetService(string(rune('a'+i)), ServiceConfig{Priority: 5, MaxConcurrency: 40})
-	}
-	for round := range 300 {
-		slow := round >= 100
-		for i, s := range services {
-			latency := 10 * ms
-			if slow && i == 0 {
-				latency = 50 * ms
-			}
-			for range 5 {
-				ticket := &Ticket{}
-				if c.Offer(now, rng, s, now+time.Hour, ticket).Verdict == Admit {
-					c.Release(now+latency, ticket, Finished)
+	run := func(slowServices int) (c *Controller, services [3]*Service) {
+		rng, now := newRand(), time.Duration(0)
+		c = New(settings)
+		for i := range services {
+			services[i] = c.SetService(string(rune('a'+i)), ServiceConfig{Priority: 5, MaxConcurrency: 40})
+		}
+		for round := range 300 {
+			for i, s := range services {
+				latency := 10 * ms
+				if round >= 100 && i < slowServices {
+					latency = 50 * ms
+				}
+				for range 5 {
+					ticket := &Ticket{}
+					if c.Offer(now, rng, s, now+time.Hour, ticket).Verdict == Admit {
+						c.Release(now+latency, ticket, Finished)
+					}
 				}
 			}
+			now += 20 * ms
 		}
-		now += 20 * ms
+		return c, services
 	}
+	c, services := run(1)
 	is.Equal(services[0].Limit(), int(settings.MinServiceLimit))
 	is.Equal(services[1].Limit(), 40)
 	is.Equal(c.Limit(), int(settings.InitialLimit))
+	c, services = run(3)
+	is.True(services[0].Limit() >= 34) // one cut before the first vote at most
+	is.Equal(c.Limit(), int(settings.MinLimit))
 }
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -165,6 +165,13 @@
 // Guards against sending work to a stalled target until its first late reply.
 func TestStalledTargetLosesWorkBeforeItsFirstReply(t *testing.T) {
 	is := is.New(t)
+	stats := NewStats(DefaultSettings(), 0)
+	for range 10 {
+		stats.Finish(stats.Start(0), 5*ms, Success)
+	}
+	stats.Start(5 * ms)
+	young, old := stats.Score(6*ms).Cost, stats.Score(105*ms).Cost
+	is.True(old > 15*young) // 100 ms of age against 5 ms of latency
 	counts := drive(2, 1_000, ms, func(target int) (time.Duration, Class) {
 		if target == 0 {
 			return time.Hour, Success
@@ -174,6 +181,22 @@
 	is.True(counts[0] <= 20) // of 1,000 attempts in one second
 }
 
+// Guards against one crash that counts as many and holds the target for long.
+func TestFailuresOfOneCrashHoldOnce(t *testing.T) {
+	is := is.New(t)
+	s := DefaultSettings()
+	stats := NewStats(s, 0)
+	var tokens []Token
+	for range 30 {
+		tokens = append(tokens, stats.Start(0))
+	}
+	for i, token := range tokens {
+		stats.Finish(token, ms+time.Duration(i), Failure)
+	}
+	is.True(stats.Score(ms + s.HoldMin/2).Held)
+	is.True(!stats.Score(2*ms + s.HoldMin).Held)
+}
+
 // Guards against a slow target that gets the same part as its fast peers, and
 // against one that is never tried again.
 func TestSlowTargetGetsLessWork(t *testing.T) {
