--- a/coordination/hedge/sim_test.go
+++ b/coordination/hedge/sim_test.go
@@ -260,17 +260,20 @@
 			b.Run(sc.name+"/"+r.name, func(b *testing.B) {
 				settings := DefaultSettings()
 				r.change(&settings)
-				var p50, p99, p999, load float64
+				var p50, p99, squares, p999, load float64
 				for i := range b.N {
 					s := simulate(sc.scenario, settings, uint64(i+1))
 					p50 += float64(s.latencies.ValueAtQuantile(50)) / 1000
-					p99 += float64(s.latencies.ValueAtQuantile(99)) / 1000
+					tail := float64(s.latencies.ValueAtQuantile(99)) / 1000
+					p99 += tail
+					squares += tail * tail
 					p999 += float64(s.latencies.ValueAtQuantile(99.9)) / 1000
 					load += float64(s.hedges) / float64(s.primaries) * 100
 				}
 				n := float64(b.N)
 				b.ReportMetric(p50/n, "p50-ms")
 				b.ReportMetric(p99/n, "p99-ms")
+				b.ReportMetric(math.Sqrt(max(squares/n-p99/n*p99/n, 0)/n), "p99-error-ms")
 				b.ReportMetric(p999/n, "p999-ms")
 				b.ReportMetric(load/n, "hedges-%")
 				b.ReportMetric(0, "ns/op")
