Let admission learn from requests that targets shed

Cause: targets that shed refuse within a millisecond. A limit just above their slots sent every waiting request to a full target: in a simulation with 9 slots half of priority 1 was shed although the goodput was 99%. Change: the result Shed; a tenth of such requests lowers a limit by the part that was shed; the place of a shed request stays taken for the mean latency; limits rise by 5% per window in place of their square root; the least limits are 4 for the entry and 1 for a service, because nine entries share 9 slots. Conclusion: callers report Shed when a target refused a part of the request because of load; Overloaded remains for a missed deadline.

--- a/coordination/admission/adapt.go
+++ b/coordination/admission/adapt.go
@@ -3,56 +3,86 @@
 import "time"
 
 const (
+	// slowPart is the part of slow requests above which a limit is too high. At
+	// one half the test is whether the median latency is above Tolerance x
+	// baseline, without a histogram.
+	slowPart = 0.5
+	// shedPart is the same for requests that targets shed. A target that sheds is
+	// full, so that far fewer of them prove it.
+	shedPart = 0.1
 	// minVotes is the number of finished requests in a window from which a
 	// service counts for the entry's limit.
 	minVotes = 5
-	// alonePart is the part of slow requests of the other services below which
-	// a slow service is slow alone. It is below slowPart, because the estimates
-	// of the latency without load differ between services.
-	alonePart = 0.25
+	// alonePressure is the mean pressure of the other services below which a
+	// service is overloaded alone. It is below 1, because the estimates of the
+	// latency without load differ between services.
+	alonePressure = 0.5
 )
 
-// vote counts a service's finished requests in the entry's window.
-type vote struct {
-	samples, slow int
-	// part is the part of slow requests in the last window, and below zero when
-	// there were too few.
-	part float64
+// signal is what one finished request says about load.
+type signal uint8
+
+const (
+	fast signal = iota
+	slow
+	shed
+)
+
+// counts holds the signals of a window.
+type counts struct{ samples, slow, shed int }
+
+func (n *counts) add(sig signal) {
+	n.samples++
+	switch sig {
+	case slow:
+		n.slow++
+	case shed:
+		n.shed++
+	}
 }
 
-func (v *vote) add(slow bool) {
-	v.samples++
-	if slow {
-		v.slow++
+// pressure is above 1 when the window shows overload.
+func (n *counts) pressure() float64 {
+	if n.samples == 0 {
+		return 0
 	}
+	return max(float64(n.slow)/slowPart, float64(n.shed)/shedPart) / float64(n.samples)
+}
+
+// vote holds a service's part in the entry's window.
+type vote struct {
+	counts counts
+	// pressure is that of the last window, and below zero when there were too
+	// few requests.
+	pressure float64
 }
 
 func (v *vote) close() {
-	v.part = -1
-	if v.samples >= minVotes {
-		v.part = float64(v.slow) / float64(v.samples)
+	v.pressure = -1
+	if v.counts.samples >= minVotes {
+		v.pressure = v.counts.pressure()
 	}
-	v.samples, v.slow = 0, 0
+	v.counts = counts{}
 }
 
 // tally sums the votes of the last window.
 type tally struct {
-	voters, slowVoters int
-	parts              float64
+	voters, overloaded int
+	pressure           float64
 }
 
 // adapt counts a finished request and changes the limits at the end of their
-// windows. The entry's limit falls when most of the services are slow, whatever
-// their traffic. A service's limit falls when it is slow alone: then its own
-// targets are the cause, and the other services keep their places.
-func (c *Controller) adapt(now time.Duration, s *Service, slow bool) {
-	s.vote.add(slow)
-	if s.limiter.sample(&c.settings, now, slow) {
-		s.limiter.adapt(&c.settings, now, s.limiter.mostSlow() && c.othersFast(s))
+// windows. The entry's limit falls when most services are overloaded, whatever
+// their traffic. A service's limit falls when it is overloaded alone: then its
+// own targets are the cause, and the other services keep their places.
+func (c *Controller) adapt(now time.Duration, s *Service, sig signal) {
+	s.vote.counts.add(sig)
+	if s.limiter.sample(&c.settings, now, sig) {
+		s.limiter.adapt(&c.settings, now, s.limiter.counts.pressure() > 1 && c.othersCalm(s))
 	}
-	if c.limiter.sample(&c.settings, now, slow) {
+	if c.limiter.sample(&c.settings, now, sig) {
 		c.closeVotes()
-		c.limiter.adapt(&c.settings, now, c.mostSlow())
+		c.limiter.adapt(&c.settings, now, c.mostOverloaded())
 	}
 }
 
@@ -61,34 +91,34 @@
 	for p := range c.classes {
 		for _, s := range c.classes[p].services {
 			s.vote.close()
-			if s.vote.part < 0 {
+			if s.vote.pressure < 0 {
 				continue
 			}
 			c.tally.voters++
-			c.tally.parts += s.vote.part
-			if s.vote.part > slowPart {
-				c.tally.slowVoters++
+			c.tally.pressure += s.vote.pressure
+			if s.vote.pressure > 1 {
+				c.tally.overloaded++
 			}
 		}
 	}
 }
 
-// mostSlow reports whether most services are slow. Without a service that has
-// enough samples, all samples decide.
-func (c *Controller) mostSlow() bool {
+// mostOverloaded reports whether most services are overloaded. Without a service
+// that has enough samples, all samples decide.
+func (c *Controller) mostOverloaded() bool {
 	if c.tally.voters == 0 {
-		return c.limiter.mostSlow()
+		return c.limiter.counts.pressure() > 1
 	}
-	return float64(c.tally.slowVoters) > slowPart*float64(c.tally.voters)
+	return 2*c.tally.overloaded > c.tally.voters
 }
 
-// othersFast reports whether other services have finished requests and few of
-// them were slow.
-func (c *Controller) othersFast(s *Service) bool {
-	voters, parts := c.tally.voters, c.tally.parts
-	if s.vote.part >= 0 {
+// othersCalm reports whether other services have finished requests and little
+// pressure.
+func (c *Controller) othersCalm(s *Service) bool {
+	voters, pressure := c.tally.voters, c.tally.pressure
+	if s.vote.pressure >= 0 {
 		voters--
-		parts -= s.vote.part
+		pressure -= s.vote.pressure
 	}
-	return voters > 0 && parts < alonePart*float64(voters)
+	return voters > 0 && pressure < alonePressure*float64(voters)
 }
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -26,10 +26,10 @@
 // Settings tunes a Controller.
 type Settings struct {
 	// MinLimit, InitialLimit and MaxLimit bound the number of requests that run
-	// at once at this entry. The defaults are 16, 128 and 4,096.
+	// at once at this entry. The defaults are 4, 128 and 4,096.
 	MinLimit, InitialLimit, MaxLimit float64
 	// MinServiceLimit is the least concurrency limit of one service. The default
-	// is 4.
+	// is 1: nine entries share the 9 slots of a small service.
 	MinServiceLimit float64
 	// MaxWaitPart bounds the wait: a request is refused at arrival when the
 	// expected wait exceeds this part of the time to its deadline, and at the
@@ -65,10 +65,10 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
 	return Settings{
-		MinLimit:        16,
+		MinLimit:        4,
 		InitialLimit:    128,
 		MaxLimit:        4_096,
-		MinServiceLimit: 4,
+		MinServiceLimit: 1,
 		MaxWaitPart:     0.1,
 		MaxQueue:        1_024,
 		Tolerance:       2,
@@ -150,12 +150,14 @@
 const (
 	// Finished requests give a latency sample.
 	Finished Result = iota
-	// Overloaded requests were shed by targets or met their deadline. They count
-	// as slow.
+	// Overloaded requests met their deadline. They count as slow.
 	Overloaded
 	// Abandoned requests say nothing about load, such as those that the caller
 	// cancelled.
 	Abandoned
+	// Shed requests were refused by targets because of load, in whole or in part.
+	// A limit falls when more than a tenth of the requests are shed.
+	Shed
 )
 
 // Rand is the random source. *rand.Rand of math/rand/v2 implements it.
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -70,7 +70,7 @@
 			case 0, 1, 2:
 				if ticket := first(running); ticket != nil {
 					delete(running, ticket)
-					if !c.Release(now, ticket, Result(rapid.IntRange(0, 2).Draw(t, "result"))) || c.Release(now, ticket, Finished) {
+					if !c.Release(now, ticket, Result(rapid.IntRange(0, 3).Draw(t, "result"))) || c.Release(now, ticket, Finished) {
 						t.Fatalf("release must work exactly once")
 					}
 				}
@@ -102,6 +102,15 @@
 				t.Fatalf("in flight %d, waiting %d, want %d, %d", c.InFlight(), c.Waiting(), len(running), len(waiting))
 			}
 		}
+		for ticket := range running {
+			c.Release(now, ticket, Shed)
+		}
+		c.cool(now + time.Hour)
+		for _, s := range services {
+			if s.InFlight() != 0 || c.limiter.inFlight != 0 {
+				t.Fatalf("%d of %d places are lost", s.InFlight(), c.limiter.inFlight)
+			}
+		}
 	})
 }
 
@@ -257,14 +266,23 @@
 // high priorities or starves the low ones.
 func TestCrestServesHighPrioritiesAtFullCapacity(t *testing.T) {
 	is := is.New(t)
-	s := newSim(DefaultSettings(), false, 2)
-	capacity := simCapacity * (crestEnd - crestStart).Seconds()
+	s := newSim(DefaultSettings(), simCase{slots: 100}, 2)
+	capacity := s.capacity() * (crestEnd - crestStart).Seconds()
 	is.True(float64(s.goodput) > 0.95*capacity)
 	is.True(float64(s.good[1]) > 0.99*float64(s.offered[1]))
 	is.True(float64(s.good[9]) > 0.02*capacity)
 	is.True(s.refusedAfter <= simDeadline/2)
 }
 
+// Guards against a limit above what the targets take, which sends every waiting
+// request to a target that sheds it.
+func TestCrestOnTargetsThatShed(t *testing.T) {
+	is := is.New(t)
+	s := newSim(DefaultSettings(), simCase{slots: 9, sheds: true}, 1)
+	is.True(float64(s.goodput) > 0.95*s.capacity()*(crestEnd-crestStart).Seconds())
+	is.True(float64(s.good[1]) > 0.85*float64(s.offered[1]))
+}
+
 // Guards against one service with slow targets that takes the places of the
 // others, against a cut of all services for the fault of one, and against a cut
 // of every service when the entry is the cause.
--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -15,6 +15,8 @@
 	refused  queue // decided by the controller, to be handed out by Next
 	waiting  int
 	tally    tally
+	cooling  []place       // places of shed requests
+	coolAt   time.Duration // the first end of one of them
 	// mean is the recent mean latency of all services in seconds.
 	mean float64
 	// refusals is the decayed number of refusals at refusedAt.
@@ -52,7 +54,7 @@
 		s = &Service{
 			name:    name,
 			limiter: newLimiter(most, c.settings.MinServiceLimit, most),
-			vote:    vote{part: -1},
+			vote:    vote{pressure: -1},
 		}
 		c.services[name] = s
 	} else {
@@ -92,6 +94,7 @@
 // can displace a waiting request, so that Next follows.
 func (c *Controller) Offer(now time.Duration, rng Rand, s *Service, deadline time.Duration, t *Ticket) Decision {
 	t.service, t.deadline = s, deadline
+	c.cool(now)
 	switch {
 	case s.removed:
 		return c.refuse(now, rng, t, ServiceRemoved)
@@ -113,8 +116,9 @@
 }
 
 // Next hands out one decided ticket, or nil when there is none. Call it until
-// it returns nil after each Offer, Release and RemoveService.
+// it returns nil after each Offer, Release, Expire and RemoveService.
 func (c *Controller) Next(now time.Duration, rng Rand) (*Ticket, Decision) {
+	c.cool(now)
 	if t := c.refused.head; t != nil {
 		c.refused.remove(t)
 		return t, c.refuse(now, rng, t, t.refusal)
@@ -149,27 +153,40 @@
 	}
 	t.state = stateEnded
 	s := t.service
-	s.limiter.leave()
-	c.limiter.leave()
+	if result == Shed {
+		c.keepPlace(t)
+	} else {
+		s.limiter.leave()
+		c.limiter.leave()
+	}
 	if result == Abandoned {
 		return true
 	}
 	latency := max(now-t.admittedAt, 0)
-	slow := result == Overloaded
-	if result == Finished {
-		slow = s.baseline.sample(&c.settings, now, latency)
-	}
-	s.mean = average(s.mean, latency, slow)
-	c.mean = average(c.mean, latency, slow)
-	c.adapt(now, s, slow)
+	sig := c.signal(now, s, latency, result)
+	s.mean = average(s.mean, latency, sig)
+	c.mean = average(c.mean, latency, sig)
+	c.adapt(now, s, sig)
+	c.cool(now)
 	return true
 }
 
+func (c *Controller) signal(now time.Duration, s *Service, latency time.Duration, result Result) signal {
+	switch {
+	case result == Shed:
+		return shed
+	case result == Overloaded || s.baseline.sample(&c.settings, now, latency):
+		return slow
+	default:
+		return fast
+	}
+}
+
 // Limit returns the number of requests that may run at once at this entry.
 func (c *Controller) Limit() int { return int(c.limiter.limit) }
 
 // InFlight returns the number of requests that run.
-func (c *Controller) InFlight() int { return c.limiter.inFlight }
+func (c *Controller) InFlight() int { return c.limiter.inFlight - len(c.cooling) }
 
 // Waiting returns the number of requests that wait.
 func (c *Controller) Waiting() int { return c.waiting }
--- a/coordination/admission/limiter.go
+++ b/coordination/admission/limiter.go
@@ -5,10 +5,13 @@
 	"time"
 )
 
-// slowPart is the part of slow requests above which a limit is too high. At one half
-// the test is whether the median latency is above Tolerance x baseline, without
-// a histogram.
-const slowPart = 0.5
+// A limit rises by riseRatio per window, and at least by leastRise, so that it
+// doubles in about 1.4 s. A faster rise overshoots small limits: the targets of a
+// limit of 9 would shed a quarter of the requests after one window.
+const (
+	riseRatio = 0.05
+	leastRise = 0.1
+)
 
 // usedPart is the part of the limit that must be in use before it rises, so that
 // a quiet service does not gain a limit that was never tested.
@@ -19,7 +22,7 @@
 	limit, least, most float64
 	inFlight           int
 	peak               int // largest number in flight in the window
-	samples, slow      int
+	counts             counts
 	openedAt           time.Duration
 }
 
@@ -39,28 +42,22 @@
 func (l *limiter) leave() { l.inFlight-- }
 
 // sample counts a finished request and reports whether the window is complete.
-func (l *limiter) sample(s *Settings, now time.Duration, slow bool) (complete bool) {
-	l.samples++
-	if slow {
-		l.slow++
-	}
-	return now-l.openedAt >= s.Window && l.samples >= s.MinSamples
+func (l *limiter) sample(s *Settings, now time.Duration, sig signal) (complete bool) {
+	l.counts.add(sig)
+	return now-l.openedAt >= s.Window && l.counts.samples >= s.MinSamples
 }
 
-// mostSlow reports whether most requests of the window were slow.
-func (l *limiter) mostSlow() bool { return float64(l.slow) > slowPart*float64(l.samples) }
-
-// adapt changes the limit at the end of a window. The rise per window is the
-// square root of the limit: a limit of 100 doubles in about one second, and one
-// of 4,096 in six.
+// adapt changes the limit at the end of a window. It falls by the part of the
+// requests that targets shed, from 1 - Decrease to one half.
 func (l *limiter) adapt(s *Settings, now time.Duration, lower bool) {
 	switch {
 	case lower:
-		l.limit = max(l.limit*s.Decrease, l.least)
+		kept := 1 - float64(l.counts.shed)/float64(l.counts.samples)
+		l.limit = max(l.limit*min(max(kept, 0.5), s.Decrease), l.least)
 	case float64(l.peak) >= usedPart*math.Floor(l.limit):
-		l.limit = min(l.limit+math.Sqrt(l.limit), l.most)
+		l.limit = min(l.limit+max(riseRatio*l.limit, leastRise), l.most)
 	}
-	l.openedAt, l.samples, l.slow, l.peak = now, 0, 0, l.inFlight
+	l.openedAt, l.counts, l.peak = now, counts{}, l.inFlight
 }
 
 // setMost changes the upper bound.
--- a/coordination/admission/service.go
+++ b/coordination/admission/service.go
@@ -24,7 +24,8 @@
 // Limit returns the number of the service's requests that may run at once.
 func (s *Service) Limit() int { return int(s.limiter.limit) }
 
-// InFlight returns the number of the service's requests that run.
+// InFlight returns the number of the service's requests that run, and of those
+// that were shed within the mean latency.
 func (s *Service) InFlight() int { return s.limiter.inFlight }
 
 // Waiting returns the number of the service's requests that wait.
@@ -33,14 +34,14 @@
 // Baseline returns the median latency without load, or zero when it is unknown.
 func (s *Service) Baseline() time.Duration { return toDuration(s.baseline.median) }
 
-// average moves a mean latency in seconds towards a sample. A fast sample of a
-// request that counts as slow, such as a target's refusal, does not lower it.
-func average(mean float64, latency time.Duration, slow bool) float64 {
+// average moves a mean latency in seconds towards a sample. A quick
+// end under load, such as a target's refusal, does not lower it.
+func average(mean float64, latency time.Duration, sig signal) float64 {
 	seconds := latency.Seconds()
 	switch {
 	case mean == 0:
 		return seconds
-	case slow && seconds < mean:
+	case sig != fast && seconds < mean:
 		return mean
 	default:
 		return mean + meanGain*(seconds-mean)
--- a/coordination/admission/sim_test.go
+++ b/coordination/admission/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -9,13 +10,13 @@
 	"time"
 )
 
-// The simulated targets run 100 requests at once, about 9,200 per second, and
-// queue the rest. They skip requests past their deadline.
+// The simulated targets run a number of requests at once, and queue or shed the
+// rest. They skip requests past their deadline.
 const (
-	simSlots    = 100
 	simService  = 10 * ms // median of a lognormal time
 	simSigma    = 0.4
-	simCapacity = 9_230.0 // requests per second: simSlots / (simService x exp(simSigma^2 / 2))
+	simRate     = 92.3 // requests per second and slot: 1 / (simService x exp(simSigma^2 / 2))
+	simShed     = ms   // time to a target's refusal
 	simDeadline = 250 * ms
 	simReturns  = 3 // times that a refused caller comes back
 )
@@ -57,13 +58,22 @@
 	return last
 }
 
+// simCase is a kind of targets.
+type simCase struct {
+	slots int
+	sheds bool
+	off   bool // no admission
+}
+
+func (c simCase) capacity() float64 { return simRate * float64(c.slots) }
+
 type sim struct {
+	simCase
 	rng      *rand.Rand
 	now      time.Duration
 	events   simQueue
 	c        *Controller
 	services []*Service
-	off      bool
 	busy     int
 	backlog  []*simRequest
 
@@ -73,8 +83,8 @@
 	refusedAfter  time.Duration // longest time from arrival to refusal
 }
 
-func newSim(settings Settings, off bool, seed uint64) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 5)), c: New(settings), off: off, offered: map[int]int{}, good: map[int]int{}}
+func newSim(settings Settings, sc simCase, seed uint64) *sim {
+	s := &sim{simCase: sc, rng: rand.New(rand.NewPCG(seed, 5)), c: New(settings), offered: map[int]int{}, good: map[int]int{}}
 	for i, p := range simPriorities {
 		s.services = append(s.services, s.c.SetService(string(rune('a'+i)), ServiceConfig{Priority: p, MaxConcurrency: 1_000, MaxQueue: 400}))
 	}
@@ -97,7 +107,7 @@
 	if s.now >= crestStart && s.now < crestEnd {
 		rate = crest
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/(rate*simCapacity)*float64(time.Second)), s.arrive)
+	s.after(time.Duration(s.rng.ExpFloat64()/(rate*s.capacity())*float64(time.Second)), s.arrive)
 	r := &simRequest{service: s.rng.IntN(len(s.services)), first: s.now}
 	if r.atCrest() {
 		s.offered[simPriorities[r.service]]++
@@ -146,6 +156,14 @@
 
 // run sends the request to the targets. The entry gives up at the deadline.
 func (s *sim) run(r *simRequest) {
+	if s.sheds && s.busy >= s.slots {
+		s.after(simShed, func() {
+			if !s.off && s.c.Release(s.now, &r.ticket, Shed) {
+				s.handOut()
+			}
+		})
+		return
+	}
 	s.backlog = append(s.backlog, r)
 	if !s.off {
 		s.after(r.sent+simDeadline-s.now, func() {
@@ -158,7 +176,7 @@
 }
 
 func (s *sim) serve() {
-	for s.busy < simSlots && len(s.backlog) > 0 {
+	for s.busy < s.slots && len(s.backlog) > 0 {
 		r := s.backlog[0]
 		s.backlog = s.backlog[1:]
 		if s.now > r.sent+simDeadline {
@@ -191,17 +209,16 @@
 }
 
 func BenchmarkCrest(b *testing.B) {
-	for _, off := range []bool{true, false} {
-		name := "on"
-		if off {
-			name = "off"
-		}
-		b.Run("admission="+name, func(b *testing.B) {
+	for _, sc := range []simCase{
+		{slots: 100, off: true}, {slots: 100}, {slots: 100, sheds: true, off: true}, {slots: 100, sheds: true},
+		{slots: 9, off: true}, {slots: 9}, {slots: 9, sheds: true, off: true}, {slots: 9, sheds: true},
+	} {
+		b.Run(fmt.Sprintf("slots=%d/sheds=%v/admission=%v", sc.slots, sc.sheds, !sc.off), func(b *testing.B) {
 			n := float64(b.N)
 			var good, p99, refused float64
 			answered := map[int]float64{}
 			for i := range b.N {
-				s := newSim(DefaultSettings(), off, uint64(i+1))
+				s := newSim(DefaultSettings(), sc, uint64(i+1))
 				good += float64(s.goodput)
 				for _, p := range []int{1, 5, 9} {
 					answered[p] += 100 * float64(s.good[p]) / float64(s.offered[p])
@@ -210,7 +227,7 @@
 				p99 += float64(s.latencies[len(s.latencies)*99/100]) / float64(ms)
 				refused += float64(s.refusedAfter) / float64(ms)
 			}
-			b.ReportMetric(100*good/n/(simCapacity*(crestEnd-crestStart).Seconds()), "goodput-%")
+			b.ReportMetric(100*good/n/(sc.capacity()*(crestEnd-crestStart).Seconds()), "goodput-%")
 			b.ReportMetric(answered[1]/n, "priority1-%")
 			b.ReportMetric(answered[5]/n, "priority5-%")
 			b.ReportMetric(answered[9]/n, "priority9-%")
