Keep hedge budget for moments of trouble and tell shed from late requests

Cause: hedging at the 95th percentile spent the whole budget while the service was calm, so that a lost zone or a slow moment found it empty; admission took a shed request for a late one. Change: hedges start at the 98th percentile with a burst of 100; requests that targets shed are reported to admission as shed.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -80,14 +80,25 @@
 func loadResult(resp *callerapi.SearchResponse, err error) admission.Result {
 	switch status.CodeOf(err) {
 	case "":
-		for _, n := range resp.Coverage.NotSearched {
-			if n.Reason == callerapi.ReasonDeadline || n.Reason == callerapi.ReasonShed {
-				return admission.Overloaded
-			}
-		}
-		return admission.Finished
-	case status.Shed, status.Overloaded, status.DeadlineExceeded:
+		return coverageResult(resp.Coverage.NotSearched)
+	case status.Shed, status.Overloaded:
+		return admission.Shed
+	case status.DeadlineExceeded:
 		return admission.Overloaded
 	}
 	return admission.Abandoned
 }
+
+// coverageResult tells whether load kept shards out of an answer.
+func coverageResult(missing []callerapi.NotSearched) admission.Result {
+	result := admission.Finished
+	for _, n := range missing {
+		switch n.Reason {
+		case callerapi.ReasonShed:
+			return admission.Shed
+		case callerapi.ReasonDeadline:
+			result = admission.Overloaded
+		}
+	}
+	return result
+}
--- a/internal/entry/loaded.go
+++ b/internal/entry/loaded.go
@@ -88,11 +88,13 @@
 	return s
 }
 
-// hedgeSettings bounds the hedges that unused budget pays for at once. The
-// default burst exceeded 5% extra load in runs of a few seconds.
+// hedgeSettings keeps budget for moments of trouble: at the 98th percentile a calm
+// service spends less than half of what it earns, so that the burst is available
+// when targets turn slow or a zone is lost.
 func hedgeSettings() hedge.Settings {
 	s := hedge.DefaultSettings()
-	s.Burst = 20
+	s.Quantile = 0.98
+	s.Burst = 100
 	return s
 }
 
