--- a/internal/entry/query_test.go
+++ b/internal/entry/query_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -80,6 +81,37 @@
 	is.Equal(got.fault.Outcome, status.Unknown)
 }
 
+// Guards against a final answer that is held back until the deadline: with a
+// deadline of ten minutes the refusals below arrive before the test times out.
+func TestRequestThatIsGivenUpIsAnsweredAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 2, 4)
+	for i := range f.sheet.Services {
+		f.sheet.Services[i].Latency.MaxDeadlineMS = sheet.MaxDeadlineMS
+	}
+	for i := range 2 {
+		f.engine(i).SetDocuments(f.sheet, f.index)
+	}
+	permit := f.permit(0, testKeyAsan, "fetch d1")
+	for _, failure := range []*status.Error{
+		status.New(status.Shed, status.NotRun, "shed"),
+		status.New(status.ConnectionFailed, status.Unknown, "connection reset"),
+		status.New(status.VersionUnavailable, status.NotRun, "gone"),
+	} {
+		f.targets.serve = func(context.Context, string, *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+			return nil, failure
+		}
+		for _, search := range []callerapi.SearchRequest{
+			{Service: "quote-desk-1", Query: "clamp"},
+			{Service: "drawing-vault", Query: "fetch d1", Permit: permit},
+		} {
+			got := f.search(1, testKeyAsan, search)
+			is.True(got.status != http.StatusOK)
+			is.True(got.fault.RetryAfterMS > 0 || got.fault.Outcome == status.Unknown)
+		}
+	}
+}
+
 // Guards against access without a key, with a wrong key, or to a service that
 // the caller may not query.
 func TestForeignCallersAreRefused(t *testing.T) {
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -383,18 +383,24 @@
 // testSeed returns the seed of a randomised run: 1, or the environment variable
 // BALSAM_SEED.
 func testSeed(t *testing.T) uint64 {
-	seed := uint64(1)
-	if text := os.Getenv("BALSAM_SEED"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		seed = n
-	}
+	seed := envNumber(t, "BALSAM_SEED", 1)
 	t.Logf("seed %d", seed)
 	return seed
 }
 
+// envNumber reads a number from the environment.
+func envNumber(t *testing.T, name string, fallback uint64) uint64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return fallback
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func quote(query string) callerapi.SearchRequest {
 	return callerapi.SearchRequest{Service: "quote-desk-1", Query: query, DeadlineMS: 3_000}
 }
--- a/test/e2e/permit_test.go
+++ b/test/e2e/permit_test.go
@@ -68,7 +68,7 @@
 // wakes: the request runs at most once and its outcome agrees with the targets.
 func TestPausedIssuer(t *testing.T) {
 	is := is.New(t)
-	const pause = 5 * time.Second // Longer than the deadline of the requests.
+	pause := time.Duration(envNumber(t, "BALSAM_PAUSE_SECONDS", 5)) * time.Second
 	c := newCluster(t, options{entries: 3, targets: 2, shards: 4, serviceMS: 2})
 	const permits = 6
 	tokens := make([]string, permits)
@@ -90,7 +90,7 @@
 		}
 	}
 	wg.Wait()
-	time.Sleep(pause / 2)
+	time.Sleep(pause)
 	c.signal(c.entries[0], syscall.SIGCONT)
 	for n := range permits {
 		query := fmt.Sprintf("drawing %d", n)
