Keep idle connections after the deadline of their last attempt

Cause: the read deadline of an attempt stayed on its connection, and the check of an idle connection took a passed deadline for a closed peer. Every attempt after a pause dialled anew. Change: the deadline is cleared when the connection returns to the pool.

--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -260,8 +260,9 @@
 		x.pool.discard(x.conn)
 		return
 	}
-	now := time.Now()
-	x.conn.lastReply = now
+	// A passed deadline would make the idle connection look closed.
+	x.conn.SetDeadline(time.Time{})
+	x.conn.lastReply = time.Now()
 	x.pool.noteReply(x.started)
 	x.pool.release(x.conn)
 }
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -217,6 +217,23 @@
 	}
 }
 
+// Guards against idle connections that are given up because the deadline of
+// their last attempt has passed.
+func TestConnectionOutlivesTheDeadlineOfItsLastAttempt(t *testing.T) {
+	is := is.New(t)
+	client, _ := newTestClient(t, echo, 1)
+	for n := range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		_, err := client.Search(ctx, "target-1", testRequest(n), Options{})
+		is.NoErr(err)
+		<-ctx.Done()
+		cancel()
+		p := client.pool("target-1")
+		is.Equal(len(p.idle), 1)
+		is.True(p.idle[0].alive())
+	}
+}
+
 // Guards against a reply that fills the memory of the entry.
 func TestOversizedReplyIsRefused(t *testing.T) {
 	is := is.New(t)
