Refuse unknown kinds of events in balsam-ctl audit

A kind that entries never record, such as sheet_accepted, showed an empty trail and tried to reach the entry. audit.Kinds lists the kinds; the help names them and the command refuses others with status 2.

--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -10,6 +10,7 @@
 
 	"github.com/balsamstall/balsamstall/internal/cli"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
+	"github.com/balsamstall/balsamstall/state/audit"
 )
 
 // AuditCommand is "balsam-ctl audit".
@@ -27,7 +28,16 @@
 func (*AuditCommand) Help() string {
 	return "Examples:\n\n  balsam-ctl audit --entry 127.0.0.1:17012 --kind document_accepted,document_refused\n\n" +
 		"  balsam-ctl audit --entry 127.0.0.1:17012,127.0.0.1:17022 --since 15m --json\n\n" +
-		"Events of several entries are merged by time. " + exitCodes
+		"Kinds: " + kindNames() + ".\n\nEvents of several entries are merged by time. " + exitCodes
+}
+
+// kindNames lists the kinds for people.
+func kindNames() string {
+	var names []string
+	for _, kind := range audit.Kinds() {
+		names = append(names, string(kind))
+	}
+	return strings.Join(names, ", ")
 }
 
 // auditEvent is one event and the entry that recorded it.
@@ -42,8 +52,8 @@
 	if err != nil {
 		return err
 	}
-	if c.Limit < 0 || c.Since < 0 {
-		return &cli.UsageError{Message: "--limit and --since must not be negative"}
+	if err := c.check(); err != nil {
+		return err
 	}
 	events := []auditEvent{}
 	var failed error
@@ -66,6 +76,18 @@
 	return errors.Join(failed, t.Flush())
 }
 
+func (c *AuditCommand) check() error {
+	if c.Limit < 0 || c.Since < 0 {
+		return &cli.UsageError{Message: fmt.Sprintf("--limit %d and --since %s must not be negative", c.Limit, c.Since)}
+	}
+	for _, kind := range c.Kind {
+		if !slices.Contains(audit.Kinds(), audit.Kind(kind)) {
+			return &cli.UsageError{Message: fmt.Sprintf("--kind %q must be one of %q", kind, audit.Kinds())}
+		}
+	}
+	return nil
+}
+
 // filter returns the events that match the flags, ordered by time. Events of
 // the same time stay in the order of the trails.
 func (c *AuditCommand) filter(events []auditEvent, now time.Time) []auditEvent {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/audit"
 )
 
 const demoSheet = "../../examples/demo/sheet.json"
@@ -198,3 +200,21 @@
 	is.True(strings.Contains(out, "permit: fresh"))
 	is.True(strings.Contains(errs, "permit_required"))
 }
+
+// Guards against a kind of event that the entries never record, which would
+// show an empty trail, and against help that does not name the kinds.
+func TestAuditKnowsTheKinds(t *testing.T) {
+	is := is.New(t)
+	t.Setenv(adminKeyVariable, "right-key")
+	address := fakeEntry(t)
+	_, help, _ := run("audit", "--help")
+	words := strings.Fields(help) // Long lines are wrapped.
+	for _, kind := range audit.Kinds() {
+		code, _, _ := run("audit", "--entry", address, "--kind", string(kind))
+		is.Equal(code, cli.ExitOK)
+		is.True(slices.ContainsFunc(words, func(w string) bool { return strings.Trim(w, ",.") == string(kind) })) // named by the help
+	}
+	code, _, errs := run("audit", "--entry", address, "--kind", "sheet_accepted")
+	is.Equal(code, cli.ExitUsage)
+	is.True(strings.Contains(errs, "document_accepted"))
+}
--- a/state/audit/audit.go
+++ b/state/audit/audit.go
@@ -32,6 +32,11 @@
 	Succession       Kind = "succession"
 )
 
+// Kinds lists every kind.
+func Kinds() []Kind {
+	return []Kind{DocumentAccepted, DocumentRefused, RevisionConflict, DrainStarted, Started, Stopped, Quarantined, Succession}
+}
+
 // Event is one record of the trail.
 type Event struct {
 	// Time is the wall-clock time at which the event was recorded.
