Name file, value and allowed type for every bad input

test/inputs starts the four built programs with bad settings, documents and arguments. WrongType describes a wrong type for documents and settings alike and never shows a field that may hold a key.

--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
@@ -76,7 +77,7 @@
 
 func checkTimeout(d time.Duration) error {
 	if d <= 0 {
-		return &cli.UsageError{Message: "--timeout must be above 0"}
+		return &cli.UsageError{Message: fmt.Sprintf("--timeout %s must be above 0", d)}
 	}
 	return nil
 }
--- a/internal/ctl/query.go
+++ b/internal/ctl/query.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	if c.Deadline < time.Millisecond {
-		return &cli.UsageError{Message: "--deadline must be at least 1ms"}
+		return &cli.UsageError{Message: fmt.Sprintf("--deadline %s must be at least 1ms", c.Deadline)}
 	}
 	key, err := readKey(c.KeyFile, callerKeyVariable)
 	if err != nil {
--- a/internal/ctl/sheet.go
+++ b/internal/ctl/sheet.go
@@ -82,10 +82,12 @@
 	return append(results, checkResult{File: c.Index, Valid: true, Revision: d.Revision, Digest: hex.EncodeToString(digest[:]), Faults: []document.Fault{}}), nil
 }
 
+// faulty returns the result for a file with faults and names the file in err.
 func faulty(file string, err error) checkResult {
 	r := checkResult{File: file}
 	var e *document.Error
 	if errors.As(err, &e) {
+		e.Kind = file
 		r.Faults = e.Faults
 	}
 	return r
--- a/internal/load/cli.go
+++ b/internal/load/cli.go
@@ -76,11 +76,11 @@
 	case len(s.Workload) == 0:
 		return &cli.UsageError{Message: c.Settings + ": a run needs a workload"}
 	case !(c.Rate > 0) || c.Peak < 0:
-		return &cli.UsageError{Message: "--rate must be above 0 and --peak must not be negative"}
+		return &cli.UsageError{Message: fmt.Sprintf("--rate %g must be above 0 and --peak %g must not be negative", c.Rate, c.Peak)}
 	case c.Duration <= 0 || c.Duration > maxDuration:
-		return &cli.UsageError{Message: fmt.Sprintf("--duration must be above 0 and at most %s", maxDuration)}
+		return &cli.UsageError{Message: fmt.Sprintf("--duration %s must be above 0 and at most %s", c.Duration, maxDuration)}
 	case c.Hold < 0 || c.MaxRequests < 1:
-		return &cli.UsageError{Message: "--hold must not be negative and --max-requests must be at least 1"}
+		return &cli.UsageError{Message: fmt.Sprintf("--hold %s must not be negative and --max-requests %d must be at least 1", c.Hold, c.MaxRequests)}
 	}
 	return nil
 }
@@ -185,7 +185,7 @@
 		}
 	}
 	if c.Seeds < 1 || c.Seeds > maxSeeds {
-		return nil, &cli.UsageError{Message: fmt.Sprintf("--seeds must be from 1 to %d", maxSeeds)}
+		return nil, &cli.UsageError{Message: fmt.Sprintf("--seeds %d must be from 1 to %d", c.Seeds, maxSeeds)}
 	}
 	if c.Duration <= 0 || c.Duration > maxDuration || c.CrestHold < 0 || c.CrestHold > maxDuration || c.Settle < 0 || c.Warmup < 0 || c.Warmup > maxDuration || c.MaxRequests < 1 {
 		return nil, &cli.UsageError{Message: fmt.Sprintf("times must be from 0 to %s, --duration and --max-requests above 0", maxDuration)}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,8 @@
 	"io"
 	"os"
 	"strings"
+
+	"github.com/balsamstall/balsamstall/protocol/document"
 )
 
 // Problem is one fault in a settings file.
@@ -34,7 +36,11 @@
 func (e *Error) Error() string {
 	lines := make([]string, len(e.Problems))
 	for i, p := range e.Problems {
-		lines[i] = fmt.Sprintf("%s: field %q: value %s: %s", e.File, p.Field, p.Value, p.Allowed)
+		place := "(file)"
+		if p.Field != "" {
+			place = fmt.Sprintf("field %q", p.Field)
+		}
+		lines[i] = fmt.Sprintf("%s: %s: value %s: %s", e.File, place, p.Value, p.Allowed)
 	}
 	return strings.Join(lines, "\n")
 }
@@ -52,7 +58,7 @@
 		return &Error{File: path, Problems: []Problem{{Value: "none", Allowed: "a readable file: " + err.Error()}}}
 	}
 	if err := decode(data, dst); err != nil {
-		return &Error{File: path, Problems: []Problem{problemOf(err)}}
+		return &Error{File: path, Problems: []Problem{problemOf(data, err)}}
 	}
 	if problems := dst.Check(); len(problems) > 0 {
 		return &Error{File: path, Problems: problems}
@@ -72,14 +78,14 @@
 	return nil
 }
 
-func problemOf(err error) Problem {
+func problemOf(data []byte, err error) Problem {
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
-		allowed := "end of file"
-		if typeErr.Type != nil {
-			allowed = "a value of type " + typeErr.Type.String()
+		if typeErr.Type == nil { // decode found data after the object.
+			return Problem{Value: typeErr.Value, Allowed: "end of file"}
 		}
-		return Problem{Field: typeErr.Field, Value: typeErr.Value, Allowed: allowed}
+		fault := document.WrongType(data, typeErr)
+		return Problem{Field: fault.Path, Value: fault.Value, Allowed: fault.Allowed}
 	}
 	var syntaxErr *json.SyntaxError
 	if errors.As(err, &syntaxErr) {
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -81,7 +81,7 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(dst); err != nil {
-		return &Error{Kind: kind, Faults: []Fault{faultOf(err)}}
+		return &Error{Kind: kind, Faults: []Fault{faultOf(data, err)}}
 	}
 	if _, err := dec.Token(); err != io.EOF {
 		return &Error{Kind: kind, Faults: []Fault{{
@@ -92,10 +92,10 @@
 	return nil
 }
 
-func faultOf(err error) Fault {
+func faultOf(data []byte, err error) Fault {
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
-		return Fault{Path: typeErr.Field, Value: typeErr.Value, Allowed: "a value of type " + typeErr.Type.String()}
+		return WrongType(data, typeErr)
 	}
 	var syntaxErr *json.SyntaxError
 	if errors.As(err, &syntaxErr) {
@@ -115,14 +115,19 @@
 
 // Add records a fault. Long values are shortened.
 func (c *Checks) Add(path, value, allowed string) {
-	if len(value) > maxShownValue {
-		cut := maxShownValue
-		for cut > 0 && !utf8.RuneStart(value[cut]) {
-			cut--
-		}
-		value = value[:cut] + "..."
+	c.Faults = append(c.Faults, Fault{Path: path, Value: shorten(value), Allowed: allowed})
+}
+
+// shorten cuts a value to maxShownValue bytes.
+func shorten(value string) string {
+	if len(value) <= maxShownValue {
+		return value
+	}
+	cut := maxShownValue
+	for cut > 0 && !utf8.RuneStart(value[cut]) {
+		cut--
 	}
-	c.Faults = append(c.Faults, Fault{Path: path, Value: value, Allowed: allowed})
+	return value[:cut] + "..."
 }
 
 // Range requires an integer from lo to hi.
