Check the callers' interface against bad input

The replies now name the field, the value and what is allowed, and a wrong method gets 405 with Allow and the JSON body.

--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -255,7 +255,7 @@
 	}
 	budget := svc.Latency.MaxDeadlineMS
 	if call.Search.DeadlineMS < 0 || call.Search.DeadlineMS > budget {
-		return nil, status.New(status.InvalidArgument, status.NotRun, "deadline_ms must be from 0 to %d", budget)
+		return nil, status.New(status.InvalidArgument, status.NotRun, "deadline_ms is %d and must be from 0 to %d", call.Search.DeadlineMS, budget)
 	}
 	if call.Search.DeadlineMS > 0 {
 		budget = call.Search.DeadlineMS
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -81,7 +81,7 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(dst); err != nil {
-		return &Error{Kind: kind, Faults: []Fault{faultOf(data, err)}}
+		return &Error{Kind: kind, Faults: []Fault{DecodeFault(data, err)}}
 	}
 	if _, err := dec.Token(); err != io.EOF {
 		return &Error{Kind: kind, Faults: []Fault{{
@@ -92,7 +92,8 @@
 	return nil
 }
 
-func faultOf(data []byte, err error) Fault {
+// DecodeFault describes the error err of encoding/json for data in plain words.
+func DecodeFault(data []byte, err error) Fault {
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
 		return WrongType(data, typeErr)
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -2,6 +2,7 @@
 package callerhttp
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -76,8 +78,8 @@
 	srv := khttp.NewServer(
 		khttp.Listener(netutil.LimitListener(lis, opt.MaxConnections)),
 		khttp.Timeout(WriteTimeout),
-		khttp.NotFoundHandler(refusal(h, status.NotFound, "unknown path")),
-		khttp.MethodNotAllowedHandler(refusal(h, status.InvalidArgument, "method not allowed")),
+		khttp.NotFoundHandler(unknownPath(h)),
+		khttp.MethodNotAllowedHandler(wrongMethod(h)),
 	)
 	srv.ReadHeaderTimeout = ReadTimeout
 	srv.ReadTimeout = ReadTimeout
@@ -91,9 +93,22 @@
 	return srv
 }
 
-func refusal(h Handler, code status.Code, message string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		write(w, h.Refuse(status.New(code, status.NotRun, "%s", message)))
+// maxShownPath bounds the part of a wrong path that an error repeats, in bytes.
+const maxShownPath = 80
+
+func unknownPath(h Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		write(w, h.Refuse(status.New(status.NotFound, status.NotRun,
+			"unknown path %.*q; searches go to %s", maxShownPath, r.URL.Path, callerapi.SearchPath)))
+	})
+}
+
+func wrongMethod(h Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reply := h.Refuse(status.New(status.InvalidArgument, status.NotRun, "the method must be %s", http.MethodPost))
+		reply.Status = http.StatusMethodNotAllowed
+		w.Header().Set("Allow", http.MethodPost)
+		write(w, reply)
 	})
 }
 
@@ -113,20 +128,24 @@
 }
 
 func decodeBody(body io.Reader, dst *callerapi.SearchRequest) *status.Error {
-	dec := json.NewDecoder(body)
-	dec.DisallowUnknownFields()
-	err := dec.Decode(dst)
-	if err == nil {
-		if _, trailing := dec.Token(); trailing != io.EOF {
-			return status.New(status.InvalidArgument, status.NotRun, "the body holds more than one JSON value")
-		}
-		return nil
-	}
+	data, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return status.New(status.TooLarge, status.NotRun, "the body exceeds %d bytes", tooLarge.Limit)
+	case err != nil:
+		return status.Wrap(err, status.InvalidArgument, status.NotRun, "the body did not arrive in full")
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(dst); err != nil {
+		return status.Wrap(err, status.InvalidArgument, status.NotRun,
+			"the body is not a valid search request: %s", document.DecodeFault(data, err))
+	}
+	if _, trailing := dec.Token(); trailing != io.EOF {
+		return status.New(status.InvalidArgument, status.NotRun, "the body holds more than one JSON value")
 	}
-	return status.Wrap(err, status.InvalidArgument, status.NotRun, "the body is not a valid search request")
+	return nil
 }
 
 func write(w http.ResponseWriter, reply Reply) {
