Accept the admin key only with the scheme Bearer

The prefix was cut when it was there and its absence was not checked, so the bare key passed. TestAdminKeyNeedsTheSchemeBearer failed before (202 for the bare key) and passes now.

--- a/transport/adminhttp/server.go
+++ b/transport/adminhttp/server.go
@@ -72,8 +72,8 @@
 
 func authenticate(key, method string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		got, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if subtle.ConstantTimeCompare([]byte(got), []byte(key)) != 1 {
+		got, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || subtle.ConstantTimeCompare([]byte(got), []byte(key)) != 1 {
 			writeJSON(w, http.StatusUnauthorized, health{Status: "refused", Error: "the bearer key is missing or wrong"})
 			return
 		}
