Use protocol/adminapi for the status and the audit trail

internal/entry/operator.go defined the same JSON shapes a second time, so a change of one could go unnoticed. It now fills the types of adminapi.

--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -5,50 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/state/audit"
 )
 
-// statusReport is the JSON body of /status.
-type statusReport struct {
-	ID            string          `json:"id"`
-	Zone          string          `json:"zone"`
-	Incarnation   string          `json:"incarnation"`
-	Ready         bool            `json:"ready"`
-	Draining      bool            `json:"draining"`
-	SheetRevision uint64          `json:"sheet_revision"`
-	IndexRevision uint64          `json:"index_revision"`
-	PolicyMode    string          `json:"policy_mode"`
-	Peers         []peerReport    `json:"peers"`
-	Services      []serviceReport `json:"services"`
-	Targets       []targetReport  `json:"targets"`
-}
-
-type peerReport struct {
-	ID          string `json:"id"`
-	Zone        string `json:"zone"`
-	Address     string `json:"address"`
-	Alive       bool   `json:"alive"`
-	Incarnation string `json:"incarnation"`
-}
-
-type serviceReport struct {
-	Name     string `json:"name"`
-	InFlight int    `json:"in_flight"`
-	Queued   int    `json:"queued"`
-	Limit    int    `json:"limit"`
-	Answered uint64 `json:"answered"`
-	Refused  uint64 `json:"refused"`
-}
-
-type targetReport struct {
-	ID       string  `json:"id"`
-	Zone     string  `json:"zone"`
-	InFlight int     `json:"in_flight"`
-	EWMAMS   float64 `json:"ewma_ms"`
-	Leaving  bool    `json:"leaving"`
-	Open     int     `json:"open_connections"`
-}
-
 // Ready implements adminhttp.Operator.
 func (d *Daemon) Ready() bool {
 	return d.syncer.Ready() && d.engine.plan.Load() != nil && !d.engine.draining.Load()
@@ -64,59 +24,61 @@
 	}()
 }
 
-// auditReport is the JSON body of /audit.
-type auditReport struct {
-	Events []audit.Event `json:"events"`
+// Audit implements adminhttp.Operator. It returns an adminapi.Audit.
+func (d *Daemon) Audit() any {
+	events := d.audit.Events()
+	trail := adminapi.Audit{Events: make([]adminapi.Event, len(events))}
+	for i, e := range events {
+		trail.Events[i] = adminapi.Event{Time: e.Time, Sequence: e.Sequence, Kind: string(e.Kind), Actor: e.Actor, Detail: e.Detail}
+	}
+	return trail
 }
 
-// Audit implements adminhttp.Operator.
-func (d *Daemon) Audit() any { return auditReport{Events: d.audit.Events()} }
-
-// Status implements adminhttp.Operator.
+// Status implements adminhttp.Operator. It returns an adminapi.Status.
 func (d *Daemon) Status() any {
-	report := statusReport{
+	report := adminapi.Status{
 		ID:          d.self.Entry,
 		Zone:        d.self.Zone,
 		Incarnation: d.self.Incarnation.String(),
 		Ready:       d.Ready(),
 		Draining:    d.engine.draining.Load(),
 		PolicyMode:  d.settings.PolicyMode,
-		Peers:       []peerReport{},
+		Peers:       []adminapi.Peer{},
 	}
 	for _, m := range d.syncer.Members() {
-		report.Peers = append(report.Peers, peerReport{ID: m.Entry, Zone: m.Zone, Address: m.Address, Alive: m.Alive, Incarnation: m.Incarnation.String()})
+		report.Peers = append(report.Peers, adminapi.Peer{ID: m.Entry, Zone: m.Zone, Address: m.Address, Alive: m.Alive, Incarnation: m.Incarnation.String()})
 	}
 	d.engine.fill(&report)
 	return report
 }
 
 // fill adds what the engine knows.
-func (e *Engine) fill(report *statusReport) {
-	report.Services, report.Targets = []serviceReport{}, []targetReport{}
+func (e *Engine) fill(report *adminapi.Status) {
+	report.Services, report.Targets = []adminapi.Service{}, []adminapi.Target{}
 	p := e.plan.Load()
 	if p == nil {
 		return
 	}
 	report.SheetRevision, report.IndexRevision = p.revision, p.indexRevision
 	for name := range p.services {
-		row := serviceReport{Name: name}
+		row := adminapi.Service{Name: name}
 		e.policy.describeService(name, &row)
 		row.Answered, row.Refused = e.metrics.service(name)
 		report.Services = append(report.Services, row)
 	}
 	for id, t := range p.targets {
-		row := targetReport{ID: id, Zone: t.Zone, Leaving: e.leaving.has(id, e.self.clock()), Open: e.targets.Connections(id)}
+		row := adminapi.Target{ID: id, Zone: t.Zone, Leaving: e.leaving.has(id, e.self.clock()), OpenConnections: e.targets.Connections(id)}
 		e.policy.describeTarget(id, &row)
 		report.Targets = append(report.Targets, row)
 	}
-	slices.SortFunc(report.Services, func(a, b serviceReport) int { return cmp.Compare(a.Name, b.Name) })
-	slices.SortFunc(report.Targets, func(a, b targetReport) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(report.Services, func(a, b adminapi.Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(report.Targets, func(a, b adminapi.Target) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-func (*baseline) describeService(string, *serviceReport) {}
-func (*baseline) describeTarget(string, *targetReport)   {}
+func (*baseline) describeService(string, *adminapi.Service) {}
+func (*baseline) describeTarget(string, *adminapi.Target)   {}
 
-func (l *loaded) describeService(name string, row *serviceReport) {
+func (l *loaded) describeService(name string, row *adminapi.Service) {
 	s := l.service(name)
 	if s == nil {
 		return
@@ -126,7 +88,7 @@
 	row.InFlight, row.Queued, row.Limit = s.admission.InFlight(), s.admission.Waiting(), s.admission.Limit()
 }
 
-func (l *loaded) describeTarget(id string, row *targetReport) {
+func (l *loaded) describeTarget(id string, row *adminapi.Target) {
 	cell := l.targets.Get(id)
 	if cell == nil {
 		return
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -9,6 +9,7 @@
 	"github.com/balsamstall/balsamstall/coordination/admission"
 	"github.com/balsamstall/balsamstall/coordination/hedge"
 	"github.com/balsamstall/balsamstall/coordination/replica"
+	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -41,8 +42,8 @@
 	// report takes a target's own report.
 	report(target string, r *targetapi.Status)
 	// describeService and describeTarget fill a row of the operators' status.
-	describeService(name string, row *serviceReport)
-	describeTarget(id string, row *targetReport)
+	describeService(name string, row *adminapi.Service)
+	describeTarget(id string, row *adminapi.Target)
 	// setPlan tells the policy which services and targets exist, and how many
 	// entries share the targets.
 	setPlan(p *plan, entries int)
