Tell peers the newest facts first

Leaving targets and successions came in the order of map iteration, and a message carries only the first 32 of a kind for certain, so a new one could travel late behind many old ones. Both are now ordered by their end, the latest first.

--- a/internal/entry/facts.go
+++ b/internal/entry/facts.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,19 +60,40 @@
 			set.Crashes = append(set.Crashes, &peerpb.Crash{Fingerprint: c.Fingerprint[:], Target: c.Target, RemainingMs: c.Remaining.Milliseconds()})
 		}
 	}
-	for target, left := range f.engine.leaving.remaining(now) {
-		set.Leaving = append(set.Leaving, &peerpb.Leaving{Target: target, RemainingMs: left.Milliseconds()})
+	set.Leaving = f.leaving(now)
+	set.Successions = f.validSuccessions(now)
+	return set
+}
+
+// leaving returns the leaving targets, those with the latest evidence first: it
+// has the latest end.
+func (f *facts) leaving(now time.Duration) []*peerpb.Leaving {
+	remaining := f.engine.leaving.remaining(now)
+	targets := slices.SortedFunc(maps.Keys(remaining), func(a, b string) int {
+		return cmp.Or(cmp.Compare(remaining[b], remaining[a]), cmp.Compare(a, b))
+	})
+	told := make([]*peerpb.Leaving, len(targets))
+	for i, target := range targets {
+		told[i] = &peerpb.Leaving{Target: target, RemainingMs: remaining[target].Milliseconds()}
 	}
+	return told
+}
+
+// validSuccessions returns the handovers that still matter, the latest first,
+// and drops the others.
+func (f *facts) validSuccessions(now time.Duration) []*peerpb.Succession {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for inc, s := range f.successions {
-		if now >= s.expires {
-			delete(f.successions, inc)
-			continue
-		}
-		set.Successions = append(set.Successions, &peerpb.Succession{Incarnation: inc[:], Successor: s.entry, SuccessorIncarnation: s.incarnation[:]})
+	maps.DeleteFunc(f.successions, func(_ ids.Incarnation, s succession) bool { return now >= s.expires })
+	stopped := slices.SortedFunc(maps.Keys(f.successions), func(a, b ids.Incarnation) int {
+		return cmp.Or(cmp.Compare(f.successions[b].expires, f.successions[a].expires), bytes.Compare(a[:], b[:]))
+	})
+	told := make([]*peerpb.Succession, len(stopped))
+	for i, inc := range stopped {
+		s := f.successions[inc]
+		told[i] = &peerpb.Succession{Incarnation: inc[:], Successor: s.entry, SuccessorIncarnation: s.incarnation[:]}
 	}
-	return set
+	return told
 }
 
 // Receive implements configsync.Facts.
