--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/audit"
 	"github.com/balsamstall/balsamstall/state/journal"
 )
 
@@ -122,5 +124,7 @@
 	}
 	e.inherited.Import(inc, h, e.self.clock())
 	e.log.Info().Str("from", in.Entry).Int("records", len(h.Records)).Msg("took over the journal of a stopping entry")
+	e.audit.Record(time.Now(), audit.Succession, "peer "+in.Entry,
+		fmt.Sprintf("took over the journal of %s, incarnation %s: %d records", in.Entry, inc, len(h.Records)))
 	return &peerpb.HandoverReply{Accepted: true}, nil
 }
