Count failed reads of the platform and show the revisions in force

No metric showed a platform that cannot be read, and the revisions were in /status only. platform_failures_total counts failed calls by key, the host list included; sheet_revision and index_revision are gauges.

--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -123,6 +123,9 @@
 	Receive(entry string, facts FactSet)
 }
 
+// HostsFailure names the host list in calls of Deps.OnReadFailure.
+const HostsFailure = "hosts"
+
 // Deps holds what a Syncer works with.
 type Deps struct {
 	Platform Platform
@@ -140,6 +143,9 @@
 	// Without them, as by default, each document is decoded as a whole.
 	CheckSheet func(*sheet.Sheet) error
 	CheckIndex func(*index.Document) error
+	// OnReadFailure is called for each failed call to the platform with the key
+	// of the document, or with HostsFailure. It must not block. It may be nil.
+	OnReadFailure func(key string)
 	// OnChange is called with the latest view after it changed, by one
 	// goroutine. Views that follow each other quickly may be left out. It may
 	// be nil.
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -172,6 +172,22 @@
 	is.True(b.Members()[0].Draining)
 }
 
+// Guards against a platform that fails unseen: each failed read counts, those
+// of the host list included, and none counts while the platform answers.
+func TestFailedReadsOfThePlatformAreCounted(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.publish(platformapi.SheetKey, sheetOf(1, "a"))
+	w.publish(platformapi.IndexKey, `{"revision": 1}`)
+	good := w.start(t, "e0")
+	w.fail("e1", status.New(status.Unavailable, "", "down"))
+	bad := w.start(t, "e1")
+	for _, key := range []string{platformapi.SheetKey, platformapi.IndexKey, HostsFailure} {
+		eventually(t, "a failed read of "+key+" counts", func() bool { return bad.readFailures(key) > 1 })
+		is.Equal(good.readFailures(key), 0)
+	}
+}
+
 // Guards against a host list that hides entries or leads to a wrong address: it
 // adds entries and does not replace what the settings say.
 func TestHostListIsAHint(t *testing.T) {
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -172,6 +172,23 @@
 	trail  *audit.Trail
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	mu sync.Mutex
+	// failures counts failed reads of the platform by key. Guarded by mu.
+	failures map[string]int
+}
+
+func (e *entryUnderTest) readFailed(key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failures[key]++
+}
+
+// readFailures returns the number of failed reads of a key.
+func (e *entryUnderTest) readFailures(key string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.failures[key]
 }
 
 // checkSheet refuses a sheet that is marked as faulty.
@@ -206,10 +223,10 @@
 			cfg.Peers = append(cfg.Peers, Peer{Entry: p, Zone: "zone-" + p[len(p)-1:], Address: p})
 		}
 	}
-	e := &entryUnderTest{id: id, trail: audit.New(zerolog.Nop()), done: make(chan struct{})}
+	e := &entryUnderTest{id: id, trail: audit.New(zerolog.Nop()), done: make(chan struct{}), failures: map[string]int{}}
 	var last uint64
 	e.Syncer = New(cfg, Deps{Platform: client{w, id}, Peers: client{w, id}, Audit: e.trail, Log: zerolog.Nop(),
-		ParseSheet: parseSheet, ParseIndex: parseIndex, CheckSheet: checkSheet,
+		ParseSheet: parseSheet, ParseIndex: parseIndex, CheckSheet: checkSheet, OnReadFailure: e.readFailed,
 		OnChange: func(v *View) {
 			if v.Sheet == nil {
 				return
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -122,10 +122,18 @@
 	if ctx.Err() != nil {
 		return
 	}
+	s.readFailed(f.key)
 	s.deps.Log.Warn().Err(err).Str("key", f.key).Int("failures", f.failures).Dur("pause", pause).Msg("platform cannot be read")
 	sleep(ctx, pause)
 }
 
+// readFailed reports a failed call to the platform.
+func (s *Syncer) readFailed(key string) {
+	if s.deps.OnReadFailure != nil {
+		s.deps.OnReadFailure(key)
+	}
+}
+
 // pollPause returns the pause until the next poll.
 func (s *Syncer) pollPause() time.Duration {
 	jitter := s.cfg.PollInterval / pollJitterParts
@@ -151,6 +159,9 @@
 			s.mu.Lock()
 			pause := backoff(s.rng, failures, status.From(err).RetryAfter)
 			s.mu.Unlock()
+			if ctx.Err() == nil {
+				s.readFailed(HostsFailure)
+			}
 			sleep(ctx, pause)
 			continue
 		}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -154,6 +154,8 @@
 	p := newPlan(s, d)
 	e.policy.setPlan(p, int(e.entries.Load()))
 	e.plan.Store(p)
+	e.metrics.SheetRevision.Set(int64(s.Revision))
+	e.metrics.IndexRevision.Set(int64(d.Revision))
 	e.configureTargets(p)
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -38,6 +38,11 @@
 	SilentConnections expvar.Int
 	// ReplyMismatches counts replies that did not name their attempt.
 	ReplyMismatches expvar.Int
+	// PlatformFailures counts failed calls to the platform by key.
+	PlatformFailures expvar.Map
+	// SheetRevision and IndexRevision are those in force, 0 until both documents
+	// are known.
+	SheetRevision, IndexRevision expvar.Int
 	// Violations counts failed invariants by name. Any value is a fault.
 	Violations expvar.Map
 }
@@ -64,6 +69,9 @@
 	vars.Set("replays_total", &m.Replays)
 	vars.Set("silent_connections_total", &m.SilentConnections)
 	vars.Set("reply_mismatches_total", &m.ReplyMismatches)
+	vars.Set("platform_failures_total", &m.PlatformFailures)
+	vars.Set("sheet_revision", &m.SheetRevision)
+	vars.Set("index_revision", &m.IndexRevision)
 	vars.Set("violations_total", &m.Violations)
 }
 
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -38,8 +38,11 @@
 		ParseIndex: index.Parse,
 		CheckSheet: checkSheet,
 		CheckIndex: checkIndex,
-		OnChange:   d.onChange,
-		OnHosts:    d.onHosts,
+		OnReadFailure: func(key string) {
+			d.metrics.PlatformFailures.Add(key, 1)
+		},
+		OnChange: d.onChange,
+		OnHosts:  d.onHosts,
 	})
 }
 
