Move the documents store to internal/configsync/documents

state/documents imported coordination/delta and coordination/revision against the order of layers, and internal/architecture had an exception for it. Its only user is internal/configsync, so it moves there and the exception goes. checks_test now expects the fault that was allowed before. The import test passes without the exception.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 # Runs the Go benchmarks of the decisions.
 gobench:
-	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./internal/entry/...
+	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./internal/configsync/... ./internal/entry/...
 
 generate:
 	protocol/peerpb/generate.sh
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -13,13 +13,6 @@
 // layers is the import order, lowest first.
 var layers = []string{"protocol", "state", "coordination", "transport", "internal", "cmd"}
 
-// unchecked lists the imports that break the order at present, by package. Every
-// other upward import fails the test. Remove an entry together with its import.
-var unchecked = map[string][]string{
-	// The store decides with revision.Decide and keeps the bases of deltas.
-	"state/documents": {"coordination/delta", "coordination/revision"},
-}
-
 // clockFunctions are the functions of package time that read a clock or wait.
 var clockFunctions = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"}
 
@@ -52,9 +45,6 @@
 		if !ok {
 			continue
 		}
-		if slices.Contains(unchecked[f.dir()], imported) {
-			continue
-		}
 		layer, _, _ := strings.Cut(imported, "/")
 		if other := slices.Index(layers, layer); other < 0 || other > own {
 			faults = append(faults, f.at(spec)+": "+f.layer()+" must not import "+imported)
--- a/internal/architecture/checks_test.go
+++ b/internal/architecture/checks_test.go
@@ -16,8 +16,7 @@
 	}{
 		"nothing":             {"coordination/a/a.go", `package a; import ("time"; "example.test/m/protocol/status")`, 0, 0},
 		"upward import":       {"coordination/a/a.go", `package a; import "example.test/m/transport/b"`, 1, 0},
-		"known upward import": {"state/documents/a.go", `package a; import "example.test/m/coordination/delta"`, 0, 0},
-		"other upward import": {"state/journal/a.go", `package a; import "example.test/m/coordination/delta"`, 1, 0},
+		"import by state":     {"state/documents/a.go", `package a; import "example.test/m/coordination/delta"`, 1, 0},
 		"import of cmd":       {"internal/a/a.go", `package a; import "example.test/m/cmd/b"`, 1, 0},
 		"import of no layer":  {"internal/a/a.go", `package a; import "example.test/m/tools/b"`, 1, 0},
 		"file in no layer":    {"tools/a/a.go", `package a`, 1, 0},
--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -7,12 +7,12 @@
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/state/audit"
-	"github.com/balsamstall/balsamstall/state/documents"
 )
 
 // maxRefusals bounds the refusals that are remembered. They keep a faulty
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -17,13 +17,13 @@
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/membership"
 	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/state/audit"
-	"github.com/balsamstall/balsamstall/state/documents"
 	"github.com/balsamstall/balsamstall/transport/peerrpc"
 )
 
--- a/internal/configsync/decode.go
+++ b/internal/configsync/decode.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
-	"github.com/balsamstall/balsamstall/state/documents"
 )
 
 // decodeChanged decodes the parts of a document that differ from the one in
--- a/internal/configsync/decode_test.go
+++ b/internal/configsync/decode_test.go
@@ -8,9 +8,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
-	"github.com/balsamstall/balsamstall/state/documents"
 )
 
 // drawSheet returns a sheet whose elements often occur twice, move or differ in
--- a/internal/configsync/offers.go
+++ b/internal/configsync/offers.go
@@ -8,8 +8,8 @@
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
-	"github.com/balsamstall/balsamstall/state/documents"
 )
 
 // maxOffers bounds the peers that are remembered as sources of one document.
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
-	"github.com/balsamstall/balsamstall/state/documents"
 )
 
 // keys are the documents that are kept up to date.
--- a/internal/configsync/transfer.go
+++ b/internal/configsync/transfer.go
@@ -11,9 +11,9 @@
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
-	"github.com/balsamstall/balsamstall/state/documents"
 )
 
 const (
