Report an unknown outcome for a permit without a key

The engine answers refusals of requests with a permit as unknown, since an earlier use may have run; the refusal for a missing key header said not_run. The case 'no key, with a permit' of test/inputs failed before (not_run) and passes now. A body that cannot be decoded is still refused as not_run, because its permit cannot be read.

--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -121,7 +121,11 @@
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
-		write(w, h.Refuse(status.New(status.Unauthenticated, status.NotRun, "the header Authorization: Bearer KEY is missing")))
+		outcome := status.NotRun
+		if search.Permit != "" { // An earlier use of the permit may have run.
+			outcome = status.Unknown
+		}
+		write(w, h.Refuse(status.New(status.Unauthenticated, outcome, "the header Authorization: Bearer KEY is missing")))
 		return
 	}
 	write(w, h.Search(r.Context(), Call{Key: key, Search: search, Arrival: arrival}))
