--- a/cmd/balsam-standin/main.go
+++ b/cmd/balsam-standin/main.go
@@ -38,7 +38,8 @@
   balsam-standin platform --config platform.json
   curl -X PUT --data @sheet.json http://127.0.0.1:7001/control/config/sheet
 
-docs/PROTOCOLS.md describes the settings, the protocols and the faults.
+docs/programs/balsam-standin.md describes the settings, docs/PROTOCOLS.md the
+protocols and the faults.
 SIGTERM and SIGINT stop the program after the running work.`
 
 type options struct {
