Name the request in the quarantine event of an at-most-once request

The event and the log line of a request with a permit had an empty request id, so operators could not find its caller.

--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 
@@ -11,6 +12,7 @@
 
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
+	"github.com/balsamstall/balsamstall/state/audit"
 )
 
 // crashTargets crashes each target that runs the query "poison" and tells
@@ -111,3 +113,25 @@
 		}
 	}
 }
+
+// Guards against an audit event that names no request: operators find the caller
+// by the id.
+func TestQuarantinedEventsNameTheRequest(t *testing.T) {
+	is := is.New(t)
+	for _, service := range []string{"quote-desk-1", "drawing-vault"} {
+		f := newFakeFleet(t, 1, 12)
+		crashTargets(f)
+		for range 5 {
+			if service == "drawing-vault" {
+				f.search(0, testKeyAsan, once("poison", f.permit(0, testKeyAsan, "poison")))
+			} else {
+				f.search(0, testKeyAsan, quote("poison"))
+			}
+		}
+		e := f.engine(0)
+		named := slices.ContainsFunc(e.audit.Events(), func(event audit.Event) bool {
+			return event.Kind == audit.Quarantined && strings.Contains(event.Detail, e.self.Incarnation.String())
+		})
+		is.True(named) // service
+	}
+}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -171,6 +171,7 @@
 // onceGuard relates the attempts of one at-most-once request to crashes.
 type onceGuard struct {
 	engine      *Engine
+	requestID   string
 	fingerprint quarantine.Fingerprint
 	alone       bool
 	// avoid lists targets that crashed with the request.
@@ -179,7 +180,7 @@
 
 // guardOnce returns an error when the request is refused because it crashed targets.
 func (e *Engine) guardOnce(req *request) (*onceGuard, error) {
-	g := &onceGuard{engine: e}
+	g := &onceGuard{engine: e, requestID: req.id.String()}
 	if e.guard == nil {
 		return g, nil
 	}
@@ -199,7 +200,7 @@
 	if guard != nil && g.engine.targetCrashed(target, err) {
 		g.engine.metrics.Crashes.Add(1)
 		refused := guard.crashed(g.fingerprint, target, g.alone)
-		g.engine.noteCrash(target, "", refused)
+		g.engine.noteCrash(target, g.requestID, refused)
 		g.engine.spread()
 	}
 }
