--- a/test/inputs/inputs_test.go
+++ b/test/inputs/inputs_test.go
@@ -82,5 +82,5 @@
 		got = strings.ReplaceAll(got, filepath.Dir(path)+"/", "")
 	}
 	got = strings.ReplaceAll(strings.ReplaceAll(got, "\n", " / "), "|", `\|`)
-	t.Logf("ROW | %s | %s | %s |", program, input, got)
+	t.Logf("ROW | `%s` | %s | `%s` |", program, input, got)
 }
