--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -154,6 +154,8 @@
 	p := newPlan(s, d)
 	e.policy.setPlan(p, int(e.entries.Load()))
 	e.plan.Store(p)
+	e.metrics.SheetRevision.Set(int64(s.Revision))
+	e.metrics.IndexRevision.Set(int64(d.Revision))
 	e.configureTargets(p)
 }
 
@@ -255,7 +257,7 @@
 	}
 	budget := svc.Latency.MaxDeadlineMS
 	if call.Search.DeadlineMS < 0 || call.Search.DeadlineMS > budget {
-		return nil, status.New(status.InvalidArgument, status.NotRun, "deadline_ms must be from 0 to %d", budget)
+		return nil, status.New(status.InvalidArgument, status.NotRun, "deadline_ms is %d and must be from 0 to %d", call.Search.DeadlineMS, budget)
 	}
 	if call.Search.DeadlineMS > 0 {
 		budget = call.Search.DeadlineMS
