--- /dev/null
+++ b/coordination/hedge/memory_test.go
@@ -0,0 +1,29 @@
+package hedge
+
+import (
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkTrackerMemory reports the live memory of one service's tracker.
+func BenchmarkTrackerMemory(b *testing.B) {
+	const trackers = 200
+	for b.Loop() {
+		before := liveBytes()
+		all := make([]*Tracker, trackers)
+		for i := range all {
+			all[i] = New(DefaultSettings(), 0)
+			all[i].Observe(time.Second, ms)
+		}
+		b.ReportMetric(float64(liveBytes()-before)/trackers, "live-bytes/tracker")
+		runtime.KeepAlive(all)
+	}
+}
+
+func liveBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
