--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -8,10 +8,13 @@
 #       start time, heap and resident memory of an entry with a sheet of that size
 #   scripts/capacity.sh BIN_DIR peers ENTRIES SECONDS
 #       processor time and bytes of idle entries
+#   scripts/capacity.sh BIN_DIR changes SERVICES TARGETS CHANGES
+#       processor time and bytes of a watcher and of a learner for each change of one
+#       service of the sheet
 set -euo pipefail
 
 if [ $# -lt 4 ]; then
-  sed -n '2,11p' "$0" >&2
+  sed -n '2,14p' "$0" >&2
   exit 2
 fi
 bin=$(cd "$1" && pwd)
@@ -190,13 +193,23 @@
   idle=$(($(ticks "$entry") - idle))
   echo "services=$1 targets=$2 shards=${3:-1} sheet_B=$(stat -c %s "$logs/sheet.json") index_B=$(stat -c %s "$logs/index.json")" \
     "ready_ms=$ready cpu_to_ready_ms=$start_cpu idle_cpu_ms_per_10s=$idle resident_kB=$(resident "$entry") $(memory) load=$(load_average)"
+  # Memory of idle connections of callers, each of which has sent a request.
+  local fd before after connections=400
+  before=$(vars | jq '.memstats | .HeapAlloc + .StackInuse')
+  for ((fd = 0; fd < connections; fd++)); do
+    exec {caller}<>"/dev/tcp/127.0.0.1/$((first_entry + 1))"
+    printf 'GET / HTTP/1.1\r\nHost: entry\r\n\r\n' >&"$caller"
+  done
+  sleep 1
+  after=$(vars | jq '.memstats | .HeapAlloc + .StackInuse')
+  echo "caller connections=$connections heap_and_stack_B_per_connection=$(((after - before) / connections))"
 }
 
 run_peers() {
   local entries=$1 seconds=$2 n i
   local -a cpu wrote read admin=()
   require_free "$platform" "$(entry_address 1 1)"
-  write_documents 25 60 3
+  write_documents 25 3 3
   write_platform
   start platform "$bin/balsam-standin" platform --config "$logs/platform.json"
   for ((n = 1; n <= entries; n++)); do
@@ -216,10 +229,51 @@
     END {printf "entries=%d seconds=%d cpu_ms_per_s=%.2f sent_B_per_s=%.0f received_B_per_s=%.0f resident_kB=%.0f load=%s\n", n, s, c/n/s, w/n/s, r/n/s, m/n, l}'
 }
 
+# costs prints processor time in ms, bytes written and bytes read of both entries.
+costs() {
+  local n
+  for n in 1 2; do
+    echo "$(ticks "${pids[n]}") $(io "${pids[n]}" wchar) $(io "${pids[n]}" rchar)"
+  done
+}
+
+run_changes() {
+  local changes=$3 n idle before after seconds
+  require_free "$platform" "$(entry_address 1 1)"
+  write_documents "$1" "$2" 1
+  write_platform
+  start platform "$bin/balsam-standin" platform --config "$logs/platform.json"
+  # Both entries in one zone with one watcher: the other learns by push and delta.
+  for n in 1 2; do
+    write_entry "$n" 2
+    sed -i -e 's/"zone":"az-[0-9]"/"zone":"az-1"/g' -e 's/"log_level"/"watchers_per_zone":1,"log_level"/' "$logs/entry-$n.json"
+    start "entry-$n" "$bin/balsam-entry" --config "$logs/entry-$n.json"
+  done
+  wait_ready "$(entry_address 1 2)" "$(entry_address 2 2)"
+  sleep 3
+  # An idle period of the same length is subtracted.
+  seconds=$(awk -v c="$changes" 'BEGIN {print c * 0.5}')
+  before=$(costs)
+  sleep "$seconds"
+  idle=$(costs)
+  for ((n = 2; n < changes + 2; n++)); do
+    sed -e "s/^{\"revision\":1,/{\"revision\":$n,/" -e "s/\"max_queue\":256/\"max_queue\":$((n % 200 + 1))/" "$logs/sheet.json" >"$logs/changed.json"
+    curl -s -m 10 -o /dev/null -X PUT --data-binary "@$logs/changed.json" "http://$platform/control/config/sheet" &
+    sleep 0.5
+  done
+  sleep 1
+  after=$(costs)
+  paste -d' ' <(echo "$before") <(echo "$idle") <(echo "$after") | awk -v c="$changes" -v s="$1" -v t="$2" -v l="$(load_average)" '{
+    printf "services=%d targets=%d changes=%d entry=%d cpu_ms_per_change=%.1f sent_B_per_change=%d received_B_per_change=%d load=%s\n", \
+      s, t, c, NR, (($7 - $4) - ($4 - $1)) / c, (($8 - $5) - ($5 - $2)) / c, (($9 - $6) - ($6 - $3)) / c, l}'
+  curl -s -m 5 -H "Authorization: Bearer $admin_key" "http://$(entry_address 2 2)/status" | jq -c '{id,sheet_revision}'
+}
+
 case $mode in
 fanout) run_fanout "${@:3}" ;;
 documents) run_documents "${@:3}" ;;
 peers) run_peers "${@:3}" ;;
+changes) run_changes "${@:3}" ;;
 *)
   echo "unknown mode $mode" >&2
   exit 2
