--- a/transport/peerrpc/bench_test.go
+++ b/transport/peerrpc/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"syscall"
 	"testing"
 
@@ -63,3 +64,45 @@
 	}
 	return (u.Utime.Sec+u.Stime.Sec)*1_000_000 + u.Utime.Usec + u.Stime.Usec
 }
+
+// BenchmarkConnectionMemory reports the live heap and stacks of one connection
+// between entries, both ends together: an entry has one end of each direction.
+func BenchmarkConnectionMemory(b *testing.B) {
+	const peers = 100
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, peers)
+	addresses := make([]string, peers)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		addresses[i] = listener.Addr().String()
+		go func() { done <- NewServer(testKey, &answerer{}, zerolog.Nop()).Serve(ctx, listener) }()
+	}
+	for b.Loop() {
+		before := liveBytes()
+		pool := NewPool(testKey, Options{})
+		for _, address := range addresses {
+			if _, err := pool.Forward(ctx, address, &peerpb.ForwardRequest{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(liveBytes()-before)/peers, "live-bytes/connection")
+		pool.Close()
+	}
+	cancel()
+	for range peers {
+		if err := <-done; err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// liveBytes is the live heap with the stacks in use.
+func liveBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
