--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -58,8 +58,13 @@
 		}
 		c.services[name] = s
 	} else {
-		c.leaveClass(s)
 		s.limiter.setMost(c.settings.MinServiceLimit, most)
+		if s.config.Priority == config.Priority {
+			// Leaving and joining the class again takes time for each of its services.
+			s.config = config
+			return s
+		}
+		c.leaveClass(s)
 	}
 	s.config = config
 	class := &c.classes[config.Priority]
