Probe a target on a new connection when none of its attempts is answered

Cause: when all requests in flight waited on silent connections, none had the later replies that prove silence; admission had no free place and refused searches. TestSilentConnectionsLoseNothing failed in 1 of 8 and 1 of 12 runs. Change: after two periods without any reply of the target, a status request on a new connection tells silent connections from a silent target. The checks moved to a file of their own. Ruled out: connections that keep a passed deadline (fixed before; the failure stayed).

--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -169,8 +169,7 @@
 		return nil, err
 	}
 	x := &exchange{client: c, pool: p, conn: cn, target: target, started: time.Now()}
-	message := "GET " + targetapi.StatusPath + " HTTP/1.1\r\nHost: " + p.address + "\r\n\r\n"
-	code, body, err := x.roundTrip(ctx, []byte(message), 0)
+	code, body, err := x.roundTrip(ctx, statusMessage(p.address), 0)
 	if err != nil {
 		return nil, err
 	}
@@ -182,6 +181,10 @@
 	return &report, nil
 }
 
+func statusMessage(address string) []byte {
+	return []byte("GET " + targetapi.StatusPath + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n")
+}
+
 func encode(address string, req *targetapi.SearchRequest) ([]byte, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
@@ -271,48 +274,6 @@
 // interrupt makes pending reads and writes return at once.
 func (x *exchange) interrupt() { x.conn.SetDeadline(time.Unix(1, 0)) }
 
-// watchSilence checks after each period without a reply whether the connection
-// is silent. A period of zero turns the check off.
-func (x *exchange) watchSilence(period time.Duration) {
-	if period <= 0 {
-		return
-	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.silence = time.AfterFunc(period, func() { x.checkSilence(period) })
-}
-
-// checkSilence ends the exchange when later ones on other connections to the
-// target had their replies: the target works, so the connection does not.
-func (x *exchange) checkSilence(period time.Duration) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.ended {
-		return
-	}
-	if !x.pool.overtaken(x.started) {
-		x.silence.Reset(period)
-		return
-	}
-	x.silent = true
-	x.client.metrics.SilentConnection()
-	// Connections without a reply since then may have gone silent with this one.
-	x.pool.dropIdle(x.started)
-	x.interrupt()
-}
-
-// endSilenceWatch ends the checks and reports whether one found the connection
-// silent.
-func (x *exchange) endSilenceWatch() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.ended = true
-	if x.silence != nil {
-		x.silence.Stop()
-	}
-	return x.silent
-}
-
 func (x *exchange) readReply() (code int, body []byte, reusable bool, err error) {
 	x.conn.allow(MaxReplyBytes)
 	resp, err := http.ReadResponse(x.conn.reader, nil)
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -201,6 +201,25 @@
 	}
 }
 
+// Guards against attempts that all wait on silent connections and so give each
+// other no evidence: the target still answers on new connections.
+func TestAllConnectionsSilent(t *testing.T) {
+	is := is.New(t)
+	client, c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == targetapi.StatusPath {
+			_ = json.NewEncoder(w).Encode(targetapi.Status{})
+			return
+		}
+		decode(r)
+		<-r.Context().Done()
+	}, 4)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_, err := client.Search(ctx, "target-1", testRequest(0), Options{SilentAfter: 20 * time.Millisecond})
+	is.Equal(status.CodeOf(err), status.ConnectionSilent)
+	is.Equal(c.silent.Load(), int64(1))
+}
+
 // Guards against an unknown outcome only because the target had closed an idle
 // connection before the request was sent.
 func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -47,6 +47,8 @@
 	// replied holds the latest send times of exchanges that had a reply, in
 	// descending order. Guarded by mu.
 	replied [silenceEvidence]time.Time
+	// lastReply is the time of the latest reply. Guarded by mu.
+	lastReply time.Time
 	// pacer spaces the dials that add connections. Guarded by mu.
 	pacer *connshare.Pacer
 	// closed is set when the target left the sheet. Guarded by mu.
@@ -236,15 +238,11 @@
 	w <- nil
 }
 
-// silenceEvidence is the number of exchanges that were sent later and had their
-// reply before a connection counts as silent. A slow target overtakes itself now
-// and then; three times in a row is rare.
-const silenceEvidence = 3
-
 // noteReply records the reply of an exchange that was sent at the given time.
 func (p *pool) noteReply(sent time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lastReply = time.Now()
 	for i := range p.replied {
 		if sent.After(p.replied[i]) {
 			copy(p.replied[i+1:], p.replied[i:])
@@ -254,6 +252,13 @@
 	}
 }
 
+// repliedAfter reports whether any exchange had its reply after t.
+func (p *pool) repliedAfter(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastReply.After(t)
+}
+
 // overtaken reports whether enough exchanges that were sent after t had their
 // reply.
 func (p *pool) overtaken(t time.Time) bool {
