Take test addresses below the range of outgoing connections

Change: addresses come from 20000 to 31999, below the range of outgoing connections (32768 to 60999 here).

--- a/test/inputs/entry_test.go
+++ b/test/inputs/entry_test.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -146,10 +148,27 @@
 	return lis
 }
 
+// Addresses for processes that start later are taken below the ports that the
+// system gives to outgoing connections (32768 and above on Linux). One of those
+// can be taken by any connection before the process listens on it.
+const (
+	firstPort = 20_000
+	ports     = 12_000
+	// portTries bounds the search for a free port.
+	portTries = 100
+)
+
 func freeAddress(t *testing.T) string {
-	lis := listen(t)
-	defer lis.Close()
-	return lis.Addr().String()
+	t.Helper()
+	for range portTries {
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			defer lis.Close()
+			return lis.Addr().String()
+		}
+	}
+	t.Fatal("no free port was found")
+	return ""
 }
 
 func eventually(t *testing.T, what string, check func() bool) {
