Keep spare connections and read reports of quiet targets only

Cause: connshare.Spares had no caller; reports of all targets every 2 s cost more than the queries of today's fleets (docs/CAPACITY.md); an attempt that the retry budget refused was reported with the reason of the failure before it. Measured: TestSparesFollowTheRecentPeak; the cost is measured again next.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -137,8 +137,18 @@
 		s.tried = slices.DeleteFunc(s.tried, func(t string) bool { return t == r.target })
 		s.fresh = true
 	}
-	if q.mayRetry(code) && q.launch(r.sub) {
-		return
+	reason := reasonOf(code)
+	switch q.mayRetry(code) {
+	case retryAllowed:
+		if q.launch(r.sub) {
+			return
+		}
+	case retryOverBudget:
+		// Admission control must see that a target shed the attempt.
+		if code != status.Shed {
+			reason = callerapi.ReasonRetryBudget
+			q.merger.Miss(s.shard, reason)
+		}
 	}
 	if s.outstanding > 0 {
 		return
@@ -154,21 +164,34 @@
 		q.aborted = q.failure(false)
 		return
 	}
-	q.miss(r.sub, reasonOf(code))
+	q.miss(r.sub, reason)
 	if r.sub == q.canary {
 		q.launchRest()
 	}
 }
 
-// mayRetry reports whether a failed attempt may be followed by another. A
-// silent connection is replaced without charge: each one closes a connection,
-// which bounds the number of such retries.
-func (q *query) mayRetry(code status.Code) bool {
+// retryVerdict says whether a failed attempt may be followed by another.
+type retryVerdict int
+
+const (
+	retryAllowed retryVerdict = iota
+	// retryPointless means that another attempt cannot help.
+	retryPointless
+	// retryOverBudget means that the service's retry budget is spent.
+	retryOverBudget
+)
+
+// mayRetry decides about a retry. A silent connection is replaced without charge:
+// each one closes a connection, which bounds the number of such retries.
+func (q *query) mayRetry(code status.Code) retryVerdict {
 	switch code {
 	case status.Canceled, status.DeadlineExceeded:
-		return false
+		return retryPointless
 	case status.ConnectionSilent, status.VersionUnavailable, status.Draining:
-		return true
+		return retryAllowed
+	}
+	if q.engine.policy.allowRetry(q.req.service.Name) {
+		return retryAllowed
 	}
-	return q.engine.policy.allowRetry(q.req.service.Name)
+	return retryOverBudget
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -177,6 +177,9 @@
 			d.engine.inherited.Expire(now)
 			d.engine.leaving.expire(now)
 			d.engine.SetEntries(d.entryCount())
+			if d.settings.PolicyMode == settings.PolicyOn {
+				d.targets.Maintain()
+			}
 		}
 	}
 }
--- a/internal/entry/loaded.go
+++ b/internal/entry/loaded.go
@@ -55,6 +55,9 @@
 	failed bool
 	// coldSince is the time at which the target turned cold.
 	coldSince time.Duration
+	// replied and repliedAt tell the time of the last reply to an attempt.
+	replied   bool
+	repliedAt time.Duration
 }
 
 // serviceState is what this entry knows of one service.
@@ -264,6 +267,9 @@
 	now := l.now()
 	state := t.target.Lock()
 	latency, ok := state.stats.Finish(t.token, now, class)
+	if class == replica.Success {
+		state.replied, state.repliedAt = true, now
+	}
 	switch {
 	case class == replica.Failure:
 		state.failed = true
@@ -281,6 +287,16 @@
 	}
 }
 
+func (l *loaded) repliedWithin(target string, period time.Duration) bool {
+	cell := l.targets.Get(target)
+	if cell == nil {
+		return false
+	}
+	state := cell.Lock()
+	defer cell.Unlock()
+	return state.replied && l.now()-state.repliedAt < period
+}
+
 func (l *loaded) report(target string, r *targetapi.Status) {
 	cell := l.targets.Get(target)
 	if cell == nil {
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -39,6 +39,8 @@
 	silentAfter(service string) time.Duration
 	// expectedLatency estimates the latency of a query of the service.
 	expectedLatency(service string) time.Duration
+	// repliedWithin reports whether a target replied to an attempt in the last period.
+	repliedWithin(target string, period time.Duration) bool
 	// report takes a target's own report.
 	report(target string, r *targetapi.Status)
 	// describeService and describeTarget fill a row of the operators' status.
@@ -102,8 +104,9 @@
 func (*baseline) hedge(string, hedge.Progress) hedge.Decision {
 	return hedge.Decision{Verdict: hedge.Off}
 }
-func (*baseline) allowRetry(string) bool               { return true }
-func (*baseline) silentAfter(string) time.Duration     { return 0 }
-func (*baseline) expectedLatency(string) time.Duration { return 0 }
-func (*baseline) report(string, *targetapi.Status)     {}
-func (*baseline) setPlan(*plan, int)                   {}
+func (*baseline) allowRetry(string) bool                   { return true }
+func (*baseline) silentAfter(string) time.Duration         { return 0 }
+func (*baseline) expectedLatency(string) time.Duration     { return 0 }
+func (*baseline) repliedWithin(string, time.Duration) bool { return false }
+func (*baseline) report(string, *targetapi.Status)         {}
+func (*baseline) setPlan(*plan, int)                       {}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -14,8 +14,8 @@
 	reportTimeout = 500 * time.Millisecond
 )
 
-// pollReports reads the reports of all targets until ctx ends. It spreads the
-// reads evenly over the interval, so that they are no burst.
+// pollReports reads the reports of the targets that did not reply lately until ctx
+// ends. It spreads the reads evenly over the interval, so that they are no burst.
 func (e *Engine) pollReports(ctx context.Context) {
 	for ctx.Err() == nil {
 		var ids []string
@@ -29,7 +29,10 @@
 		}
 		gap := reportInterval / time.Duration(max(len(ids), 1))
 		for _, id := range ids {
-			go e.readReport(ctx, id)
+			// A target that just replied is known better than its report tells.
+			if !e.policy.repliedWithin(id, reportInterval) {
+				go e.readReport(ctx, id)
+			}
 			sleep(ctx, gap/2+time.Duration(rand.Int64N(int64(gap))))
 		}
 	}
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -220,6 +220,33 @@
 	is.Equal(c.silent.Load(), int64(1))
 }
 
+// Guards against the first attempts after a loss of connections each waiting for
+// a dial: the pool opens spares up to its recent peak, and none to a target that
+// is not in use.
+func TestSparesFollowTheRecentPeak(t *testing.T) {
+	is := is.New(t)
+	client, _ := newTestClient(t, echo, 8)
+	client.Maintain()
+	is.Equal(client.Connections("target-1"), 0)
+	var wg sync.WaitGroup
+	for n := range 3 {
+		wg.Go(func() { _, _ = client.Search(context.Background(), "target-1", testRequest(n), Options{}) })
+	}
+	wg.Wait()
+	client.DropIdle()
+	client.Maintain()
+	p := client.pool("target-1")
+	idle := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.idle)
+	}
+	for end := time.Now().Add(30 * time.Second); idle() < 2 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.True(idle() >= 2)
+	is.True(client.Connections("target-1") <= 8)
+}
+
 // Guards against an unknown outcome only because the target had closed an idle
 // connection before the request was sent.
 func TestConnectionClosedWhileIdleIsNotUsed(t *testing.T) {
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -44,6 +44,11 @@
 	limit int
 	// waiters are served first come, first served. Guarded by mu.
 	waiters []chan *conn
+	// peak and lastPeak are the largest numbers of busy connections in the running
+	// and in the previous peak window. Guarded by mu.
+	peak, lastPeak int
+	// peakSince is the start of the running peak window. Guarded by mu.
+	peakSince time.Time
 	// replied holds the latest send times of exchanges that had a reply, in
 	// descending order. Guarded by mu.
 	replied [silenceEvidence]time.Time
@@ -59,6 +64,16 @@
 // one. With fresh set it never returns a connection that was used before.
 // Every error has the outcome NotRun.
 func (p *pool) acquire(ctx context.Context, fresh bool) (*conn, error) {
+	c, err := p.take(ctx, fresh)
+	if err == nil {
+		p.mu.Lock()
+		p.peak = max(p.peak, p.open-len(p.idle))
+		p.mu.Unlock()
+	}
+	return c, err
+}
+
+func (p *pool) take(ctx context.Context, fresh bool) (*conn, error) {
 	for {
 		p.mu.Lock()
 		if p.closed {
