Pass inherited journals on and share the process-level harness

Change: a planned stop hands over what the entry inherited, and entries follow the chain of successors; the harness is internal/testfleet.

--- a/internal/entry/facts.go
+++ b/internal/entry/facts.go
@@ -141,10 +141,22 @@
 	f.successions[stopped] = succession{entry: entry, incarnation: incarnation, expires: f.engine.self.clock() + maxSuccessionAge}
 }
 
-// successor returns the entry that holds the journal of a stopped incarnation.
+// maxSuccessionChain bounds the planned stops that successor follows.
+const maxSuccessionChain = 64
+
+// successor returns the entry that holds the journal of a stopped incarnation. A
+// successor that stopped too has passed the journal on to its own successor.
 func (f *facts) successor(stopped ids.Incarnation) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s, ok := f.successions[stopped]
-	return s.entry, ok && f.engine.self.clock() < s.expires
+	now := f.engine.self.clock()
+	entry, known := "", false
+	for range maxSuccessionChain {
+		s, ok := f.successions[stopped]
+		if !ok || now >= s.expires {
+			break
+		}
+		entry, known, stopped = s.entry, true, s.incarnation
+	}
+	return entry, known
 }
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -32,20 +32,40 @@
 	return err
 }
 
-// HandoverParts returns the journal as messages for the successor. The journal
-// must be sealed.
+// HandoverParts returns the journal, and those of stopped incarnations that this
+// entry holds, as messages for the successor. The journal must be sealed.
 func (e *Engine) HandoverParts() ([]*peerpb.HandoverRequest, error) {
 	now := e.self.clock()
 	records, err := e.journal.Export(now)
 	if err != nil {
 		return nil, err
 	}
-	part := e.newHandoverPart(now)
+	parts := handoverParts(e.self.Entry, journal.Stopped{
+		Incarnation: e.self.Incarnation,
+		Handover:    journal.Handover{Records: records, ExportedAt: now, PermitRemaining: e.longestWindow()},
+	})
+	for _, stopped := range e.inherited.Export(now) {
+		parts = append(parts, handoverParts(e.self.Entry, stopped)...)
+	}
+	return parts, nil
+}
+
+// handoverParts splits one journal into messages of bounded size.
+func handoverParts(entry string, stopped journal.Stopped) []*peerpb.HandoverRequest {
+	newPart := func() *peerpb.HandoverRequest {
+		return &peerpb.HandoverRequest{
+			Entry:             entry,
+			Incarnation:       stopped.Incarnation[:],
+			PermitRemainingMs: stopped.PermitRemaining.Milliseconds(),
+			IssuerClockNs:     int64(stopped.ExportedAt),
+		}
+	}
+	part := newPart()
 	parts := []*peerpb.HandoverRequest{part}
 	size := 0
-	for _, r := range records {
+	for _, r := range stopped.Records {
 		if size > maxHandoverBytes {
-			part = e.newHandoverPart(now)
+			part = newPart()
 			parts = append(parts, part)
 			size = 0
 		}
@@ -59,17 +79,8 @@
 		})
 	}
 	part.Complete = true
-	part.TotalRecords = int64(len(records))
-	return parts, nil
-}
-
-func (e *Engine) newHandoverPart(now time.Duration) *peerpb.HandoverRequest {
-	return &peerpb.HandoverRequest{
-		Entry:             e.self.Entry,
-		Incarnation:       e.self.Incarnation[:],
-		PermitRemainingMs: e.longestWindow().Milliseconds(),
-		IssuerClockNs:     int64(now),
-	}
+	part.TotalRecords = int64(len(stopped.Records))
+	return parts
 }
 
 // longestWindow returns the longest repeat window of the sheet in force. Permits
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -123,6 +123,35 @@
 	is.Equal(len(f.targets.ran), 1)
 }
 
+// Guards against outcomes that are lost when the successor stops too: it passes
+// on what it inherited, and entries follow the chain of successors.
+func TestOutcomesSurviveASecondPlannedStop(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 4)
+	used := f.permit(0, testKeyAsan, "fetch d1")
+	unused := f.permit(0, testKeyAsan, "fetch d2")
+	is.Equal(f.search(0, testKeyAsan, once("fetch d1", used)).status, http.StatusOK)
+	chain := newFacts(f.engine(2))
+	for stops := range 2 {
+		old, next := f.engine(stops), f.engine(stops+1)
+		is.NoErr(old.Stop(context.Background()))
+		parts, err := old.HandoverParts()
+		is.NoErr(err)
+		for _, part := range parts {
+			_, err := next.HandleHandover(context.Background(), part)
+			is.NoErr(err)
+		}
+		chain.addSuccession(old.self.Incarnation, next.self.Entry, next.self.Incarnation)
+	}
+	holder, ok := chain.successor(f.engine(0).self.Incarnation)
+	is.True(ok)
+	is.Equal(holder, "entry-2")
+	f.successors[f.engine(0).self.Incarnation] = holder
+	is.True(f.search(2, testKeyAsan, once("fetch d1", used)).answer.Replayed)
+	is.Equal(f.search(2, testKeyAsan, once("fetch d2", unused)).fault.Outcome, status.NotRun)
+	is.Equal(len(f.targets.ran), 1)
+}
+
 // Guards against taking a handover with a missing part for a complete journal,
 // which would report a permit that ran as not run.
 func TestIncompleteHandoverIsRefused(t *testing.T) {
--- a/state/journal/inherited.go
+++ b/state/journal/inherited.go
@@ -97,6 +97,30 @@
 	return Record{}, NoRecord
 }
 
+// Stopped is the journal of one stopped incarnation, for the next successor.
+type Stopped struct {
+	Incarnation ids.Incarnation
+	Handover
+}
+
+// Export returns the journals whose permits have not all expired at now. Their
+// times are on the clocks of the incarnations that stopped, so that the next
+// successor judges permits as this one does.
+func (t *Inherited) Export(now time.Duration) []Stopped {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	out := make([]Stopped, 0, len(t.stopped))
+	for inc, h := range t.stopped {
+		s := Stopped{Incarnation: inc, Handover: Handover{ExportedAt: now - h.offset, PermitRemaining: h.expires - now}}
+		for seq, r := range h.records {
+			s.Records = append(s.Records, ExportedRecord{Sequence: seq, Record: r, Remaining: s.PermitRemaining})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 // Expire drops the journals whose permits have all expired at now and returns
 // their number.
 func (t *Inherited) Expire(now time.Duration) int {
--- a/test/e2e/combined_test.go
+++ b/test/e2e/combined_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamstall/balsamstall/internal/standin/platform"
 	"github.com/balsamstall/balsamstall/internal/standin/target"
+	"github.com/balsamstall/balsamstall/internal/testfleet"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 )
 
@@ -23,55 +24,55 @@
 // Every answer and every refusal is checked against the targets' records, and
 // no invariant fails inside an entry.
 func TestPromisesUnderCombinedFaults(t *testing.T) {
-	seed := testSeed(t)
+	seed := testfleet.Seed(t)
 	rng := rand.New(rand.NewPCG(seed, 9))
-	c := newCluster(t, options{entries: 3, targets: 6, shards: 8, serviceMS: 3})
+	c := testfleet.New(t, testfleet.Options{Entries: 3, Targets: 6, Shards: 8, ServiceMS: 3})
 	var mu sync.Mutex
 	permits := map[string]string{}
-	stop := c.load(6, func(string, result) {})
+	stop := load(c, 6, func(string, testfleet.Result) {})
 	var uses sync.WaitGroup
 	revision := uint64(1)
 	for n := range combinedFaults {
 		query := fmt.Sprintf("drawing %d", n)
-		token := c.search(c.entries[rng.IntN(3)], fetch(query, "")).fault.Permit
+		token := c.Search(c.Entries[rng.IntN(3)], testfleet.Fetch(query, "")).Fault.Permit
 		mu.Lock()
 		permits[query] = token
 		mu.Unlock()
 		for range 3 {
-			p := c.entries[rng.IntN(3)]
+			p := c.Entries[rng.IntN(3)]
 			pause := time.Duration(rng.IntN(1_000)) * time.Millisecond
 			uses.Go(func() {
 				time.Sleep(pause)
-				c.checkAnswer(query, c.search(p, fetch(query, token)))
+				c.CheckAnswer(query, c.Search(p, testfleet.Fetch(query, token)))
 			})
 		}
-		revision = c.randomFault(rng, revision)
+		revision = randomFault(c, rng, revision)
 		time.Sleep(time.Duration(100+rng.IntN(150)) * time.Millisecond)
 	}
 	uses.Wait()
 	stop()
 	for query := range permits {
-		if runs := c.runs(query); len(runs) > 1 {
+		if runs := c.Runs(query); len(runs) > 1 {
 			t.Errorf("%s ran %d times", query, len(runs))
 		}
 	}
-	c.checkViolations()
-	c.checkRevisions(revision)
+	checkViolations(c)
+	checkRevisions(c, revision)
 }
 
 // randomFault injects one fault and returns the revision of the sheet published last.
-func (c *cluster) randomFault(rng *rand.Rand, revision uint64) uint64 {
-	c.t.Helper()
-	tg := c.targets[rng.IntN(len(c.targets))]
-	p := c.entries[rng.IntN(len(c.entries))]
+func randomFault(c *testfleet.Fleet, rng *rand.Rand, revision uint64) uint64 {
+	c.T.Helper()
+	tg := c.Targets[rng.IntN(len(c.Targets))]
+	p := c.Entries[rng.IntN(len(c.Entries))]
 	apply := func(cmd target.Command) {
 		if err := tg.Apply(cmd); err != nil {
-			c.t.Fatal(err)
+			c.T.Fatal(err)
 		}
 	}
 	platformFault := func(cmd platform.Command) {
-		if err := c.platform.Apply(cmd); err != nil {
-			c.t.Fatal(err)
+		if err := c.Platform.Apply(cmd); err != nil {
+			c.T.Fatal(err)
 		}
 	}
 	const faultMS = 600
@@ -89,53 +90,53 @@
 	case 5:
 		tg.Crash(faultMS * time.Millisecond)
 	case 6:
-		c.kill(p)
-		c.start(p)
+		c.Kill(p)
+		c.Start(p)
 	case 7:
-		c.signal(p, syscall.SIGSTOP)
+		c.Signal(p, syscall.SIGSTOP)
 		time.Sleep(time.Duration(rng.IntN(1_000)) * time.Millisecond)
-		c.signal(p, syscall.SIGCONT)
+		c.Signal(p, syscall.SIGCONT)
 	case 8:
-		c.signal(p, syscall.SIGTERM)
-		<-p.exited
-		c.start(p)
+		c.Signal(p, syscall.SIGTERM)
+		<-p.Exited
+		c.Start(p)
 	case 9:
 		platformFault(platform.Command{Fault: platform.FaultStale, Back: 1, DurationMS: faultMS})
 	case 10:
 		platformFault(platform.Command{Fault: platform.FaultOutage, DurationMS: faultMS})
 	case 11:
 		revision++
-		s, _ := c.documents(revision, 8)
-		c.publish(platformapi.SheetKey, s)
+		s, _ := c.Documents(revision, 8)
+		c.Publish(platformapi.SheetKey, s)
 	}
 	return revision
 }
 
 // checkViolations fails when an entry found a broken invariant.
-func (c *cluster) checkViolations() {
-	c.t.Helper()
-	for _, p := range c.entries {
-		c.waitReady(p)
+func checkViolations(c *testfleet.Fleet) {
+	c.T.Helper()
+	for _, p := range c.Entries {
+		c.WaitReady(p)
 		var vars struct {
 			Entry struct {
 				Violations map[string]int64 `json:"violations_total"`
 			} `json:"balsam_entry"`
 		}
-		if err := c.admin(p, http.MethodGet, "/debug/vars", &vars); err != nil {
-			c.t.Fatal(err)
+		if err := c.Admin(p, http.MethodGet, "/debug/vars", &vars); err != nil {
+			c.T.Fatal(err)
 		}
 		if len(vars.Entry.Violations) > 0 {
-			c.t.Errorf("%s: violations %v", p.settings.ID, vars.Entry.Violations)
+			c.T.Errorf("%s: violations %v", p.Settings.ID, vars.Entry.Violations)
 		}
 	}
 }
 
 // checkRevisions waits until the revision is in force on every entry.
-func (c *cluster) checkRevisions(revision uint64) {
-	c.t.Helper()
-	c.eventually("the last sheet is in force everywhere", func() bool {
-		for _, p := range c.entries {
-			if c.revision(p) != revision {
+func checkRevisions(c *testfleet.Fleet, revision uint64) {
+	c.T.Helper()
+	c.Eventually("the last sheet is in force everywhere", func() bool {
+		for _, p := range c.Entries {
+			if c.Revision(p) != revision {
 				return false
 			}
 		}
--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/balsamstall/balsamstall/internal/standin/platform"
+	"github.com/balsamstall/balsamstall/internal/testfleet"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 )
 
@@ -17,23 +18,23 @@
 // and two sheets of one revision in between.
 func TestSheetIsInForceEverywhereAndNeverReverts(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, options{entries: 4, targets: 2, shards: 4, serviceMS: 1})
+	c := testfleet.New(t, testfleet.Options{Entries: 4, Targets: 2, Shards: 4, ServiceMS: 1})
 	publish := func(revision uint64) {
-		s, _ := c.documents(revision, 4)
-		c.publish(platformapi.SheetKey, s)
+		s, _ := c.Documents(revision, 4)
+		c.Publish(platformapi.SheetKey, s)
 	}
 	inForce := func(revision uint64) {
 		t.Helper()
-		c.eventually("the sheet is in force on all entries", func() bool {
-			for _, p := range c.entries {
-				if got := c.revision(p); got != revision {
+		c.Eventually("the sheet is in force on all entries", func() bool {
+			for _, p := range c.Entries {
+				if got := c.Revision(p); got != revision {
 					return false
 				}
 			}
 			return true
 		})
 	}
-	apply := func(cmd platform.Command) { is.NoErr(c.platform.Apply(cmd)) }
+	apply := func(cmd platform.Command) { is.NoErr(c.Platform.Apply(cmd)) }
 
 	publish(2)
 	inForce(2)
@@ -46,14 +47,14 @@
 
 	// The platform turns stale; an entry that restarts learns from its peers.
 	apply(platform.Command{Fault: platform.FaultStale, Back: 2})
-	c.kill(c.entries[1])
-	c.start(c.entries[1])
-	c.waitReady(c.entries[1])
-	is.Equal(c.revision(c.entries[1]), uint64(3))
+	c.Kill(c.Entries[1])
+	c.Start(c.Entries[1])
+	c.WaitReady(c.Entries[1])
+	is.Equal(c.Revision(c.Entries[1]), uint64(3))
 	apply(platform.Command{Fault: platform.FaultClear})
 
 	// A faulty sheet is refused whole.
-	_, err := c.platform.Publish(platformapi.SheetKey, json.RawMessage(`{"revision": 9, "services": [{"name": ""}]}`))
+	_, err := c.Platform.Publish(platformapi.SheetKey, json.RawMessage(`{"revision": 9, "services": [{"name": ""}]}`))
 	is.NoErr(err)
 	publish(4)
 	inForce(4)
@@ -70,19 +71,19 @@
 
 	// The platform is down; every entry goes on and one restarts.
 	apply(platform.Command{Fault: platform.FaultOutage, Mode: platform.ModeHang})
-	c.kill(c.entries[2])
-	c.start(c.entries[2])
-	c.waitReady(c.entries[2])
+	c.Kill(c.Entries[2])
+	c.Start(c.Entries[2])
+	c.WaitReady(c.Entries[2])
 	inForce(5)
-	is.Equal(c.search(c.entries[2], quote("clamp")).status, 200)
+	is.Equal(c.Search(c.Entries[2], testfleet.Quote("clamp")).Status, 200)
 	apply(platform.Command{Fault: platform.FaultClear})
 
 	// Two operators publish one revision; a later one settles it.
-	first, _ := c.documents(6, 4)
-	second, _ := c.documents(6, 4)
+	first, _ := c.Documents(6, 4)
+	second, _ := c.Documents(6, 4)
 	second.Date = "2026-12-05"
-	c.publish(platformapi.SheetKey, first)
-	c.publish(platformapi.SheetKey, second)
+	c.Publish(platformapi.SheetKey, first)
+	c.Publish(platformapi.SheetKey, second)
 	publish(7)
 	inForce(7)
 }
--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/balsamstall/balsamstall/internal/standin/target"
+	"github.com/balsamstall/balsamstall/internal/testfleet"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -21,7 +22,7 @@
 
 // load sends searches from several workers until the returned function is
 // called, which checks every answer.
-func (c *cluster) load(workers int, each func(query string, r result)) (stop func()) {
+func load(c *testfleet.Fleet, workers int, each func(query string, r testfleet.Result)) (stop func()) {
 	var wg sync.WaitGroup
 	done := make(chan struct{})
 	for w := range workers {
@@ -33,8 +34,8 @@
 				default:
 				}
 				query := fmt.Sprintf("load %d %d", w, n)
-				r := c.search(c.entries[(w+n)%len(c.entries)], quote(query))
-				c.checkAnswer(query, r)
+				r := c.Search(c.Entries[(w+n)%len(c.Entries)], testfleet.Quote(query))
+				c.CheckAnswer(query, r)
 				each(query, r)
 			}
 		})
@@ -51,13 +52,13 @@
 	for _, signal := range []string{"host list", "refusal"} {
 		t.Run(signal, func(t *testing.T) {
 			is := is.New(t)
-			c := newCluster(t, options{entries: 3, targets: 4, shards: 8, serviceMS: 2})
-			stop := c.load(6, func(string, result) {})
+			c := testfleet.New(t, testfleet.Options{Entries: 3, Targets: 4, Shards: 8, ServiceMS: 2})
+			stop := load(c, 6, func(string, testfleet.Result) {})
 			defer stop()
-			leaving := c.targets[0]
-			c.eventually("the target works", func() bool { return leaving.Counters().Started > 20 })
+			leaving := c.Targets[0]
+			c.Eventually("the target works", func() bool { return leaving.Counters().Started > 20 })
 			if signal == "host list" {
-				c.platform.SetHosts([]platformapi.Host{{
+				c.Platform.SetHosts([]platformapi.Host{{
 					ID: leaving.ID(), Kind: platformapi.KindTarget, Zone: "az-1", Address: leaving.Addr(), State: platformapi.HostLeaving,
 				}})
 			} else {
@@ -77,18 +78,18 @@
 // leaving sends it nothing when it wakes.
 func TestPausedEntryLearnsOfLeavingTargetsBeforeItSends(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	c := testfleet.New(t, testfleet.Options{Entries: 2, Targets: 4, Shards: 8, ServiceMS: 2})
 	for n := range 10 {
-		is.Equal(c.search(c.entries[0], quote(fmt.Sprintf("before %d", n))).status, http.StatusOK)
+		is.Equal(c.Search(c.Entries[0], testfleet.Quote(fmt.Sprintf("before %d", n))).Status, http.StatusOK)
 	}
-	leaving := c.targets[0]
-	c.signal(c.entries[0], syscall.SIGSTOP)
-	c.platform.SetHosts([]platformapi.Host{{
+	leaving := c.Targets[0]
+	c.Signal(c.Entries[0], syscall.SIGSTOP)
+	c.Platform.SetHosts([]platformapi.Host{{
 		ID: leaving.ID(), Kind: platformapi.KindTarget, Zone: "az-1", Address: leaving.Addr(), State: platformapi.HostLeaving,
 	}})
-	c.eventually("the other entry knows", func() bool {
-		var s entryStatus
-		is.NoErr(c.admin(c.entries[1], http.MethodGet, "/status", &s))
+	c.Eventually("the other entry knows", func() bool {
+		var s testfleet.Status
+		is.NoErr(c.Admin(c.Entries[1], http.MethodGet, "/status", &s))
 		for _, tg := range s.Targets {
 			if tg.ID == leaving.ID() {
 				return tg.Leaving
@@ -97,9 +98,9 @@
 		return false
 	})
 	before := leaving.Counters().Started
-	c.signal(c.entries[0], syscall.SIGCONT)
+	c.Signal(c.Entries[0], syscall.SIGCONT)
 	for n := range 20 {
-		is.Equal(c.search(c.entries[0], quote(fmt.Sprintf("after %d", n))).status, http.StatusOK)
+		is.Equal(c.Search(c.Entries[0], testfleet.Quote(fmt.Sprintf("after %d", n))).Status, http.StatusOK)
 	}
 	is.Equal(leaving.Counters().Started, before)
 }
@@ -108,54 +109,54 @@
 // again to all entries, takes down two targets and no innocent request.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, options{entries: 3, targets: 6, shards: 12, serviceMS: 2})
-	for _, tg := range c.targets {
+	c := testfleet.New(t, testfleet.Options{Entries: 3, Targets: 6, Shards: 12, ServiceMS: 2})
+	for _, tg := range c.Targets {
 		is.NoErr(tg.Apply(target.Command{Fault: target.FaultCrash, Query: "poison", RestartMS: 60_000}))
 	}
 	var mu sync.Mutex
 	refused := 0
-	stop := c.load(4, func(query string, r result) {
+	stop := load(c, 4, func(query string, r testfleet.Result) {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.err != nil || r.status != http.StatusOK {
+		if r.Err != nil || r.Status != http.StatusOK {
 			refused++
-			t.Logf("%s: status %d, error %v, %+v", query, r.status, r.err, r.fault)
+			t.Logf("%s: status %d, error %v, %+v", query, r.Status, r.Err, r.Fault)
 		}
 	})
 	for n := range 12 {
-		r := c.search(c.entries[n%3], quote("poison"))
-		is.NoErr(r.err)
-		is.True(r.status != http.StatusOK)
+		r := c.Search(c.Entries[n%3], testfleet.Quote("poison"))
+		is.NoErr(r.Err)
+		is.True(r.Status != http.StatusOK)
 		time.Sleep(100 * time.Millisecond)
 	}
 	stop()
 	crashes := int64(0)
-	for _, tg := range c.targets {
+	for _, tg := range c.Targets {
 		crashes += tg.Counters().Crashes
 	}
 	is.True(crashes <= 2)
 	is.Equal(refused, 0)
-	is.Equal(c.search(c.entries[0], quote("poison")).fault.Code, status.Quarantined)
+	is.Equal(c.Search(c.Entries[0], testfleet.Quote("poison")).Fault.Code, status.Quarantined)
 }
 
 // Guards F8: when half of the open connections go silent, every search is
 // answered in full and no target is blamed.
 func TestSilentConnectionsLoseNothing(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	c := testfleet.New(t, testfleet.Options{Entries: 2, Targets: 4, Shards: 8, ServiceMS: 2})
 	var mu sync.Mutex
 	lost := 0
-	stop := c.load(8, func(query string, r result) {
+	stop := load(c, 8, func(query string, r testfleet.Result) {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.err != nil || r.status != http.StatusOK || r.answer.Coverage.Ratio < 1 {
+		if r.Err != nil || r.Status != http.StatusOK || r.Answer.Coverage.Ratio < 1 {
 			lost++
-			t.Logf("%s: status %d, error %v, %+v, %+v", query, r.status, r.err, r.fault, r.answer.Coverage)
+			t.Logf("%s: status %d, error %v, %+v, %+v", query, r.Status, r.Err, r.Fault, r.Answer.Coverage)
 		}
 	})
 	for range 3 {
 		time.Sleep(500 * time.Millisecond)
-		for _, tg := range c.targets {
+		for _, tg := range c.Targets {
 			tg.Silence(0.5)
 		}
 	}
@@ -168,37 +169,37 @@
 // repartitioned while searches run. Answers are never mixed.
 func TestRepartitionUnderLoad(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	c := testfleet.New(t, testfleet.Options{Entries: 2, Targets: 4, Shards: 8, ServiceMS: 2})
 	var mu sync.Mutex
 	failed := 0
-	stop := c.load(6, func(query string, r result) {
+	stop := load(c, 6, func(query string, r testfleet.Result) {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.err != nil || r.status != http.StatusOK {
+		if r.Err != nil || r.Status != http.StatusOK {
 			failed++
-			t.Logf("%s: status %d, error %v, %+v", query, r.status, r.err, r.fault)
+			t.Logf("%s: status %d, error %v, %+v", query, r.Status, r.Err, r.Fault)
 			return
 		}
-		for _, run := range c.runs(query) {
-			if run.RequestID != r.answer.RequestID {
+		for _, run := range c.Runs(query) {
+			if run.RequestID != r.Answer.RequestID {
 				t.Errorf("%s: a run names request %s", query, run.RequestID)
 			}
 		}
 	})
 	for version := uint64(2); version <= 6; version++ {
 		shards := 6 + int(version)
-		_, d := c.documents(version, shards)
+		_, d := c.Documents(version, shards)
 		offered := []ids.Snapshot{{IndexVersion: version, ShardMapEpoch: version}, {IndexVersion: version - 1, ShardMapEpoch: version - 1}}
 		if version == 2 {
 			offered[1] = ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1}
 		}
 		for i := range d.Services {
-			d.Services[i].Snapshots[0] = c.snapshot(version, version, shards)
+			d.Services[i].Snapshots[0] = c.Snapshot(version, version, shards)
 		}
-		for _, tg := range c.targets {
+		for _, tg := range c.Targets {
 			tg.SetSnapshots("quote-desk-1", offered)
 		}
-		c.publish(platformapi.IndexKey, d)
+		c.Publish(platformapi.IndexKey, d)
 		time.Sleep(400 * time.Millisecond)
 	}
 	stop()
@@ -209,16 +210,16 @@
 // replies never get a foreign hit into an answer, and searches go on.
 func TestWrongRepliesNeverReachACaller(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, options{entries: 2, targets: 4, shards: 8, serviceMS: 2})
+	c := testfleet.New(t, testfleet.Options{Entries: 2, Targets: 4, Shards: 8, ServiceMS: 2})
 	for n, kind := range []target.Kind{target.KindCrossed, target.KindForgedHits, target.KindWrongSnapshot, target.KindLateDuplicate} {
-		is.NoErr(c.targets[n].Apply(target.Command{Fault: target.FaultWrongReply, Kind: kind, Fraction: 0.2}))
+		is.NoErr(c.Targets[n].Apply(target.Command{Fault: target.FaultWrongReply, Kind: kind, Fraction: 0.2}))
 	}
 	var mu sync.Mutex
 	answered := 0
-	stop := c.load(6, func(_ string, r result) {
+	stop := load(c, 6, func(_ string, r testfleet.Result) {
 		mu.Lock()
 		defer mu.Unlock()
-		if r.err == nil && r.status == http.StatusOK {
+		if r.Err == nil && r.Status == http.StatusOK {
 			answered++
 		}
 	})
--- a/test/inputs/entry_test.go
+++ b/test/inputs/entry_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +15,7 @@
 
 	"github.com/balsamstall/balsamstall/internal/standin/platform"
 	"github.com/balsamstall/balsamstall/internal/standin/target"
+	"github.com/balsamstall/balsamstall/internal/testfleet"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
@@ -52,14 +49,14 @@
 	}
 	pf.Start(listen(t))
 	t.Cleanup(pf.Close)
-	publish(t, pf, platformapi.SheetKey, testSheet(tg.Addr()))
+	testfleet.Publish(t, pf, platformapi.SheetKey, testSheet(tg.Addr()))
 	var services []index.Service
 	for _, name := range []string{"quote-desk-1", "member-ledger-1"} {
 		services = append(services, index.Service{Name: name, Snapshots: []index.Snapshot{{Snapshot: snapshot, Shards: [][]string{{"target-1"}, {"target-1"}}}}})
 	}
-	publish(t, pf, platformapi.IndexKey, &index.Document{Revision: 1, Services: services})
+	testfleet.Publish(t, pf, platformapi.IndexKey, &index.Document{Revision: 1, Services: services})
 
-	callers, admin := freeAddress(t), freeAddress(t)
+	callers, admin := testfleet.FreeAddress(t), testfleet.FreeAddress(t)
 	set := entrySettings(callers)
 	set["admin_address"], set["platform_address"] = admin, pf.Addr()
 	set["max_caller_connections"], set["max_body_bytes"] = maxConnections, maxBodyBytes
@@ -68,7 +65,7 @@
 		t.Fatal(err)
 	}
 	startProcess(t, writeFile(t, "entry.json", string(data)))
-	eventually(t, "the entry is ready", func() bool {
+	testfleet.Eventually(t, "the entry is ready", func() bool {
 		resp, err := http.Get("http://" + admin + "/readyz")
 		if err != nil {
 			return false
@@ -115,30 +112,14 @@
 		Revision: 1, Date: "2026-12-04",
 		Workspaces: []sheet.Workspace{{Name: "asan-toolroom"}, {Name: "molina-shop"}},
 		Callers: []sheet.Caller{
-			{Name: "asan-buyer", Workspace: "asan-toolroom", KeyDigest: digest(asanKey), Services: []string{"quote-desk-1"}},
-			{Name: "molina-counter", Workspace: "molina-shop", KeyDigest: digest(molinaKey), Services: []string{"member-ledger-1"}},
+			{Name: "asan-buyer", Workspace: "asan-toolroom", KeyDigest: testfleet.KeyDigest(asanKey), Services: []string{"quote-desk-1"}},
+			{Name: "molina-counter", Workspace: "molina-shop", KeyDigest: testfleet.KeyDigest(molinaKey), Services: []string{"member-ledger-1"}},
 		},
 		Targets:  []sheet.Target{{ID: "target-1", Address: targetAddress, Zone: "az-1", Slots: 8, MaxConnections: 64}},
 		Services: []sheet.Service{service("quote-desk-1"), service("member-ledger-1")},
 	}
 }
 
-func digest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
-
-func publish(t *testing.T, p *platform.Platform, key string, doc any) {
-	t.Helper()
-	value, err := json.Marshal(doc)
-	if err == nil {
-		_, err = p.Publish(key, value)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
-}
-
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -148,39 +129,6 @@
 	return lis
 }
 
-// Addresses for processes that start later are taken below the ports that the
-// system gives to outgoing connections (32768 and above on Linux). One of those
-// can be taken by any connection before the process listens on it.
-const (
-	firstPort = 20_000
-	ports     = 12_000
-	// portTries bounds the search for a free port.
-	portTries = 100
-)
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range portTries {
-		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
-		if err == nil {
-			defer lis.Close()
-			return lis.Addr().String()
-		}
-	}
-	t.Fatal("no free port was found")
-	return ""
-}
-
-func eventually(t *testing.T, what string, check func() bool) {
-	t.Helper()
-	for end := time.Now().Add(waitBound); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if check() {
-			return
-		}
-	}
-	t.Fatalf("did not happen in %v: %s", waitBound, what)
-}
-
 // answered reports whether a new connection gets a full answer.
 func answered(address string) bool {
 	client := &http.Client{Timeout: waitBound, Transport: &http.Transport{DisableKeepAlives: true}}
