Send the absolute deadline with a forwarded request

Cause: an issuer that woke with a forwarded request unread gave it its whole time anew and ran it after its caller had been answered. Change: the deadline travels beside the time left; the earlier one counts. Measured: TestForwardedRequestPastItsDeadlineDoesNotRun fails before and passes after.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -47,6 +47,8 @@
 		Workspace: req.caller.Workspace,
 		Search:    body,
 		TimeoutMs: time.Until(req.deadline).Milliseconds(),
+
+		DeadlineUnixMs: req.deadline.UnixMilli(),
 	})
 	if err != nil {
 		// An earlier use of the permit may have run, so the outcome is unknown
@@ -107,6 +109,12 @@
 	}
 	limit := time.Duration(svc.Latency.MaxDeadlineMS) * time.Millisecond
 	timeout := min(time.Duration(fwd.TimeoutMs)*time.Millisecond, limit)
+	if fwd.DeadlineUnixMs > 0 {
+		timeout = min(timeout, time.Until(time.UnixMilli(fwd.DeadlineUnixMs)))
+	}
+	if timeout <= 0 {
+		return nil, status.New(status.DeadlineExceeded, status.Unknown, "the request arrived after its deadline").WithRetryAfter(defaultRetryAfter)
+	}
 	return &request{id: id, caller: caller, search: search, service: svc, plan: p, deadline: time.Now().Add(timeout)}, nil
 }
 
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -123,6 +125,23 @@
 	is.Equal(len(f.targets.ran), 1)
 }
 
+// Guards F5: an issuer that was paused with a forwarded request unread does not
+// run it after the deadline of the caller.
+func TestForwardedRequestPastItsDeadlineDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 4)
+	permit := f.permit(0, testKeyAsan, "fetch d1")
+	search, err := json.Marshal(once("fetch d1", permit))
+	is.NoErr(err)
+	reply, err := f.engine(0).HandleForward(context.Background(), &peerpb.ForwardRequest{
+		Issuer: f.engine(0).self.Incarnation[:], Caller: "asan-buyer", Workspace: "asan-toolroom",
+		Search: search, TimeoutMs: 300, DeadlineUnixMs: time.Now().Add(-time.Minute).UnixMilli(),
+	})
+	is.NoErr(err)
+	is.Equal(int(reply.HttpStatus), http.StatusGatewayTimeout)
+	is.Equal(len(f.targets.ran), 0)
+}
+
 // Guards against outcomes that are lost when the successor stops too: it passes
 // on what it inherited, and entries follow the chain of successors.
 func TestOutcomesSurviveASecondPlannedStop(t *testing.T) {
