--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,13 +41,12 @@
 	}
 	e.metrics.Forwards.Add(1)
 	reply, err := e.peers.Forward(ctx, holder, &peerpb.ForwardRequest{
-		Issuer:    claims.Issuer[:],
-		RequestId: req.id.String(),
-		Caller:    req.caller.Name,
-		Workspace: req.caller.Workspace,
-		Search:    body,
-		TimeoutMs: time.Until(req.deadline).Milliseconds(),
-
+		Issuer:         claims.Issuer[:],
+		RequestId:      req.id.String(),
+		Caller:         req.caller.Name,
+		Workspace:      req.caller.Workspace,
+		Search:         body,
+		TimeoutMs:      time.Until(req.deadline).Milliseconds(),
 		DeadlineUnixMs: req.deadline.UnixMilli(),
 	})
 	if err != nil {
