--- a/cmd/balsam-ctl/main.go
+++ b/cmd/balsam-ctl/main.go
@@ -11,10 +11,17 @@
 	"github.com/balsamstall/balsamstall/internal/ctl"
 )
 
+const description = `Operators' commands of balsamstall.
+
+Examples:
+  balsam-ctl sheet check sheet.json                  # names every fault
+  balsam-ctl sheet diff yesterday.json today.json    # says what changes
+  balsam-ctl status --entry 127.0.0.1:17012          # key in BALSAM_ADMIN_KEY`
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := cli.Run(ctx, &ctl.Commands{}, "balsam-ctl",
-		"Operators' commands of balsamstall.", os.Args[1:], os.Stdout, os.Stderr)
+		description, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
--- a/cmd/balsam-load/main.go
+++ b/cmd/balsam-load/main.go
@@ -12,10 +12,17 @@
 	"github.com/balsamstall/balsamstall/internal/load"
 )
 
+const description = `Sends load to balsam-entry processes and checks every answer.
+
+Examples:
+  balsam-load demo --settings examples/demo/load.json
+  balsam-load run --settings examples/demo/load.json --help
+  balsam-load bench --help`
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := cli.Run(ctx, &load.Commands{}, "balsam-load",
-		"Sends load to balsam-entry processes and checks every answer.", os.Args[1:], os.Stdout, os.Stderr)
+		description, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
 	os.Exit(code)
 }
