--- a/internal/entry/canary.go
+++ b/internal/entry/canary.go
@@ -67,7 +67,7 @@
 	}
 	if i == q.canary {
 		q.launchRest()
-		q.armHedge()
+		q.armTimer()
 	}
 }
 
@@ -135,7 +135,7 @@
 	q.subs[i].launched = false
 	q.canary, q.trial = next, next
 	q.launchFirst(next)
-	q.armHedge()
+	q.armTimer()
 	return true
 }
 
--- a/internal/entry/hedging.go
+++ b/internal/entry/hedging.go
@@ -6,8 +6,9 @@
 	"github.com/balsamstall/balsamstall/coordination/hedge"
 )
 
-// armHedge sets the timer to the next hedge decision.
-func (q *query) armHedge() {
+// armTimer sets the timer to the next hedge decision or the end of the canary's
+// head start, whichever comes first.
+func (q *query) armTimer() {
 	var next time.Time
 	if q.canary != none {
 		next = q.subs[q.canary].restAt
@@ -34,7 +35,7 @@
 		}
 	}
 	q.hedge(now)
-	q.armHedge()
+	q.armTimer()
 }
 
 // hedge decides about each sub-request that waited for its delay.
--- a/internal/entry/query.go
+++ b/internal/entry/query.go
@@ -184,7 +184,7 @@
 		}
 		q.launchFirst(q.canary)
 	}
-	q.armHedge()
+	q.armTimer()
 	return nil
 }
 
