--- a/internal/entry/admit.go
+++ b/internal/engine/admit.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"context"
@@ -10,18 +10,17 @@
 )
 
 // admit implements policy.
-func (l *loaded) admit(ctx context.Context, req *request) (func(admission.Result), error) {
-	s := l.service(req.service.Name)
+func (l *loaded) admit(ctx context.Context, req *Request) (func(admission.Result), error) {
+	s := l.service(req.Service)
 	if s == nil {
-		return nil, status.New(status.Unavailable, status.NotRun, "service %s was removed", req.service.Name)
+		return nil, status.New(status.Unavailable, status.NotRun, "service %s was removed", req.Service)
 	}
 	ticket := &admission.Ticket{}
 	decided := make(chan admission.Decision, 1)
 	ticket.Owner = decided
 	// A request that waits past the contracted latency takes the place of one that
 	// could still be answered in time.
-	contract := time.Duration(req.service.Latency.ContractMS) * time.Millisecond
-	deadline := l.now() + min(time.Until(req.deadline), contract)
+	deadline := l.now() + min(time.Until(req.Deadline), req.Contract.Latency)
 
 	l.admitMu.Lock()
 	decision := l.admission.Offer(l.now(), globalRand{}, s.admission, deadline, ticket)
@@ -77,10 +76,10 @@
 }
 
 // loadResult tells admission control how a request ended.
-func loadResult(resp *callerapi.SearchResponse, err error) admission.Result {
+func loadResult(missing []callerapi.Reason, err error) admission.Result {
 	switch status.CodeOf(err) {
 	case "":
-		return coverageResult(resp.Coverage.NotSearched)
+		return coverageResult(missing)
 	case status.Shed, status.Overloaded:
 		return admission.Shed
 	case status.DeadlineExceeded:
@@ -90,10 +89,10 @@
 }
 
 // coverageResult tells whether load kept shards out of an answer.
-func coverageResult(missing []callerapi.NotSearched) admission.Result {
+func coverageResult(missing []callerapi.Reason) admission.Result {
 	result := admission.Finished
-	for _, n := range missing {
-		switch n.Reason {
+	for _, reason := range missing {
+		switch reason {
 		case callerapi.ReasonShed:
 			return admission.Shed
 		case callerapi.ReasonDeadline:
--- a/internal/entry/attempt.go
+++ b/internal/engine/attempt.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"context"
@@ -7,8 +7,6 @@
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
-	"github.com/balsamstall/balsamstall/protocol/targetapi"
-	"github.com/balsamstall/balsamstall/transport/targethttp"
 )
 
 // launchRest sends the first attempt of every sub-request that has none.
@@ -26,7 +24,7 @@
 	s := &q.subs[i]
 	s.launched = true
 	s.started = time.Now()
-	if delay, ok := q.engine.policy.hedgeDelay(q.req.service.Name); ok {
+	if delay, ok := q.engine.policy.hedgeDelay(q.req.Service); ok {
 		s.hedgeAt = s.started.Add(delay)
 	}
 	if i == q.canary && i != q.trial {
@@ -63,40 +61,32 @@
 	s.attempts++
 	s.outstanding++
 	q.attempts++
-	msg := &targetapi.SearchRequest{
-		Identity: targetapi.Identity{
-			RequestID: q.req.id.String(),
-			Attempt:   q.attempts,
-			Workspace: q.req.caller.Workspace,
-			Service:   q.req.service.Name,
-			Shard:     s.shard,
-			Snapshot:  q.snapshot.Snapshot,
-		},
-		Query:          q.req.search.Query,
-		DeadlineUnixMS: q.req.deadline.UnixMilli(),
-	}
-	go q.engine.attempt(s.ctx, q.results, attemptResult{
-		round: q.round, sub: i, target: target, fresh: s.fresh, fingerprint: q.fingerprint, alone: i == q.trial,
-	}, msg)
+	go q.engine.attempt(s.ctx, q.req, q.results, attemptResult{
+		round: q.round, sub: i, target: target, alone: i == q.trial,
+	}, Attempt{
+		Number:      q.attempts,
+		Shard:       s.shard,
+		Target:      target,
+		Snapshot:    q.snapshot.Snapshot,
+		Fresh:       s.fresh,
+		SilentAfter: q.engine.policy.silentAfter(q.req.Service),
+	})
 	return true
 }
 
 // attempt sends one attempt and reports its result.
-func (e *Engine) attempt(ctx context.Context, results chan<- attemptResult, r attemptResult, msg *targetapi.SearchRequest) {
-	token := e.policy.start(msg.Service, r.target)
-	r.reply, r.err = e.targets.Search(ctx, r.target, msg, targethttp.Options{
-		FreshConnection: r.fresh,
-		SilentAfter:     e.policy.silentAfter(msg.Service),
-	})
+func (e *Engine) attempt(ctx context.Context, req *Request, results chan<- attemptResult, r attemptResult, a Attempt) {
+	token := e.policy.start(req.Service, r.target)
+	r.reply, r.err = req.Work.Send(ctx, a)
 	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
-	e.noteFailure(r.target, msg.RequestID, r.err)
+	e.noteFailure(r.target, req.ID, r.err)
 	if e.guard != nil && e.targetCrashed(r.target, r.err) {
 		e.metrics.Crashes.Add(1)
 		r.crashed = true
 		// Recorded here because the query may have ended already.
-		r.refused = e.guard.crashed(r.fingerprint, r.target, r.alone)
-		e.noteCrash(r.target, msg.RequestID, r.refused)
+		r.refused = e.guard.crashed(req.Fingerprint, r.target, r.alone)
+		e.noteCrash(r.target, req.ID, r.refused)
 		e.spread()
 	}
 	results <- r
@@ -131,7 +121,7 @@
 	s := &q.subs[r.sub]
 	q.lastError = r.err
 	code := status.CodeOf(r.err)
-	q.merger.Miss(s.shard, reasonOf(code))
+	q.note(s, reasonOf(code))
 	if code == status.ConnectionSilent {
 		// The target works; only the connection is to blame.
 		s.tried = slices.DeleteFunc(s.tried, func(t string) bool { return t == r.target })
@@ -147,7 +137,7 @@
 		// Admission control must see that a target shed the attempt.
 		if code != status.Shed {
 			reason = callerapi.ReasonRetryBudget
-			q.merger.Miss(s.shard, reason)
+			q.note(s, reason)
 		}
 	}
 	if s.outstanding > 0 {
@@ -190,7 +180,7 @@
 	case status.ConnectionSilent, status.VersionUnavailable, status.Draining:
 		return retryAllowed
 	}
-	if q.engine.policy.allowRetry(q.req.service.Name) {
+	if q.engine.policy.allowRetry(q.req.Service) {
 		return retryAllowed
 	}
 	return retryOverBudget
--- a/internal/entry/canary.go
+++ b/internal/engine/canary.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"math/rand/v2"
@@ -20,7 +20,7 @@
 	if guard == nil {
 		return nil
 	}
-	q.fingerprint = guard.fingerprint(q.req)
+	q.fingerprint = q.req.Fingerprint
 	decision, safe := guard.decide(q.fingerprint)
 	if err := decision.Err(); err != nil {
 		return err
@@ -29,7 +29,7 @@
 	if decision.Verdict == quarantine.Alone {
 		q.avoid = decision.Avoid
 		q.canary, q.trial = 0, 0 // plan chooses the shard.
-	} else if !safe && q.req.service.Canary.MaxWaitMS > 0 {
+	} else if !safe && q.req.Contract.CanaryWait > 0 {
 		q.canary = 0
 	}
 	return nil
@@ -41,8 +41,7 @@
 // canaryWait returns the time for which the other shards wait for the canary. A
 // canary without a reply must leave time for a partial answer.
 func (q *query) canaryWait() time.Duration {
-	wait := time.Duration(q.req.service.Canary.MaxWaitMS) * time.Millisecond
-	return min(wait, time.Until(q.req.deadline)/canaryShare)
+	return min(q.req.Contract.CanaryWait, time.Until(q.req.Deadline)/canaryShare)
 }
 
 // cleared takes note of a reply: the request does not crash every target.
@@ -113,7 +112,7 @@
 	q.endTrial(false)
 	q.miss(i, callerapi.ReasonConnectionFailed)
 	if i == q.canary {
-		q.aborted = status.New(status.Unavailable, status.Unknown, "the target of the first shard crashed and no other holds it").WithRetryAfter(defaultRetryAfter)
+		q.aborted = status.New(status.Unavailable, status.Unknown, "the target of the first shard crashed and no other holds it").WithRetryAfter(DefaultRetryAfter)
 	}
 }
 
--- a/internal/entry/crash.go
+++ b/internal/engine/crash.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"context"
@@ -46,24 +46,20 @@
 	}
 }
 
-func (g *crashGuard) fingerprint(req *request) quarantine.Fingerprint {
-	return g.keyer.Fingerprint(req.caller.Workspace, req.service.Name, req.search.Query)
-}
-
 // decide says how a request may run, and whether a target has answered it before.
 func (g *crashGuard) decide(fp quarantine.Fingerprint) (d quarantine.Decision, safe bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	_, current := g.safe[fp]
 	_, previous := g.wasSafe[fp]
-	return g.detector.Decide(fp, g.self.clock()), current || previous
+	return g.detector.Decide(fp, g.self.Clock()), current || previous
 }
 
 // answered records that a target answered the request.
 func (g *crashGuard) answered(fp quarantine.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.self.clock()
+	now := g.self.Clock()
 	if len(g.safe) >= maxSafe || now-g.rotated > safePeriod {
 		g.wasSafe, g.safe = g.safe, make(map[quarantine.Fingerprint]struct{})
 		g.rotated = now
@@ -78,28 +74,28 @@
 	defer g.mu.Unlock()
 	delete(g.safe, fp)
 	delete(g.wasSafe, fp)
-	return g.detector.Crash(fp, target, alone, g.self.clock())
+	return g.detector.Crash(fp, target, alone, g.self.Clock())
 }
 
 // ended reports the end of a run that was allowed alone.
 func (g *crashGuard) ended(fp quarantine.Fingerprint, answered bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.detector.Ended(fp, answered, g.self.clock())
+	g.detector.Ended(fp, answered, g.self.Clock())
 }
 
 // facts returns at most limit facts for peers.
 func (g *crashGuard) facts(limit int) quarantine.Facts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.Facts(g.self.clock(), limit)
+	return g.detector.Facts(g.self.Clock(), limit)
 }
 
 // merge takes the facts of a peer.
 func (g *crashGuard) merge(f quarantine.Facts) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.detector.Merge(f, g.self.clock())
+	g.detector.Merge(f, g.self.Clock())
 }
 
 // noteCrash logs a crash and records a request that is refused because of it.
--- a/internal/entry/hedging.go
+++ b/internal/engine/hedging.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"time"
@@ -49,7 +49,7 @@
 		if i == q.trial {
 			continue
 		}
-		decision := q.engine.policy.hedge(q.req.service.Name, hedge.Progress{
+		decision := q.engine.policy.hedge(q.req.Service, hedge.Progress{
 			Age:         now.Sub(s.started),
 			Fanout:      len(q.subs),
 			Outstanding: q.pending,
--- a/internal/entry/leaving.go
+++ b/internal/engine/leaving.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"sync"
@@ -7,10 +7,10 @@
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
-// leavingPeriod is the time for which a target counts as leaving after the last
+// LeavingPeriod is the time for which a target counts as leaving after the last
 // evidence. It exceeds the lag of the host list, so that a list which still
 // names the target as live does not bring work back to it.
-const leavingPeriod = 30 * time.Second
+const LeavingPeriod = 30 * time.Second
 
 // leavingSet holds the targets that get no new work. It is safe for concurrent
 // use.
@@ -67,11 +67,11 @@
 }
 
 // usable reports whether a target may get new work.
-func (e *Engine) usable(target string) bool { return !e.leaving.has(target, e.self.clock()) }
+func (e *Engine) usable(target string) bool { return !e.leaving.has(target, e.self.Clock()) }
 
 // MarkLeaving records that a target is leaving for the given time.
 func (e *Engine) MarkLeaving(target string, period time.Duration) {
-	now := e.self.clock()
+	now := e.self.Clock()
 	if e.leaving.mark(target, now, now+period) {
 		e.metrics.LeavingTargets.Add(1)
 		e.spread()
@@ -84,7 +84,7 @@
 func (e *Engine) noteFailure(target, requestID string, err error) {
 	switch status.CodeOf(err) {
 	case status.Draining:
-		e.MarkLeaving(target, leavingPeriod)
+		e.MarkLeaving(target, LeavingPeriod)
 	case status.ReplyMismatch:
 		e.log.Warn().Str("target", target).Str("request_id", requestID).Err(err).Msg("reply dropped; its connection is closed")
 	}
--- a/internal/entry/loaded.go
+++ b/internal/engine/loaded.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"math"
@@ -13,7 +13,7 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
-	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
 )
@@ -120,48 +120,48 @@
 
 // maxConcurrency bounds the running requests of a service by this entry's part
 // of its targets' slots.
-func maxConcurrency(p *plan, svc *sheet.Service, entries int) int {
-	if svc.Repeat.Rule == sheet.AtMostOnce {
-		return svc.Limits.MaxConcurrency
+func maxConcurrency(svc *CatalogueService, entries int) int {
+	if svc.AtMostOnce {
+		return svc.MaxConcurrency
 	}
-	slots, shards := p.capacity(svc.Name)
-	return min(shareOf(slots, shards, entries), svc.Limits.MaxConcurrency)
+	return min(shareOf(svc.Slots, svc.Shards, entries), svc.MaxConcurrency)
 }
 
 // maxEntryConcurrency bounds the running requests of all services. Services that
 // share targets share the slots.
-func maxEntryConcurrency(p *plan, entries int) int {
+func maxEntryConcurrency(c *Catalogue) int {
 	slots, shards, services := 0, 0, 0
-	for _, t := range p.targets {
-		slots += t.Slots
+	for i := range c.Targets {
+		slots += c.Targets[i].Slots
 	}
-	for name, svc := range p.services {
-		if n := p.shards(name); n > 0 && svc.Repeat.Rule != sheet.AtMostOnce {
-			shards += n
+	for i := range c.Services {
+		if svc := &c.Services[i]; svc.Shards > 0 && !svc.AtMostOnce {
+			shards += svc.Shards
 			services++
 		}
 	}
 	if services == 0 {
 		return int(admission.DefaultSettings().MaxLimit)
 	}
-	return shareOf(slots, max(shards/services, 1), entries)
+	return shareOf(slots, max(shards/services, 1), c.Entries)
 }
 
-func (l *loaded) now() time.Duration { return l.self.clock() }
+func (l *loaded) now() time.Duration { return l.self.Clock() }
 
-func (l *loaded) setPlan(p *plan, entries int) {
-	l.setTargets(p)
+func (l *loaded) setCatalogue(c *Catalogue) {
+	l.setTargets(c.Targets)
 	now := l.now()
 	old := l.services.Load()
 	if old == nil {
 		old = &map[string]*serviceState{}
 	}
-	next := make(map[string]*serviceState, len(p.services))
+	next := make(map[string]*serviceState, len(c.Services))
 	l.admitMu.Lock()
 	defer l.admitMu.Unlock()
-	l.admission.SetMaxLimit(float64(maxEntryConcurrency(p, entries)))
-	for name, svc := range p.services {
-		state := (*old)[name]
+	l.admission.SetMaxLimit(float64(maxEntryConcurrency(c)))
+	for i := range c.Services {
+		svc := &c.Services[i]
+		state := (*old)[svc.Name]
 		if state == nil {
 			state = &serviceState{
 				hedges:  hedge.New(hedgeSettings(), now),
@@ -169,14 +169,14 @@
 			}
 		}
 		state.mu.Lock()
-		state.hedges.SetBudgetRatio(svc.Hedge.BudgetRatio)
+		state.hedges.SetBudgetRatio(svc.HedgeRatio)
 		state.mu.Unlock()
-		state.admission = l.admission.SetService(name, admission.ServiceConfig{
+		state.admission = l.admission.SetService(svc.Name, admission.ServiceConfig{
 			Priority:       svc.Priority,
-			MaxConcurrency: maxConcurrency(p, svc, entries),
-			MaxQueue:       svc.Limits.MaxQueue,
+			MaxConcurrency: maxConcurrency(svc, c.Entries),
+			MaxQueue:       svc.MaxQueue,
 		})
-		next[name] = state
+		next[svc.Name] = state
 	}
 	for name := range *old {
 		if next[name] == nil {
@@ -187,22 +187,27 @@
 	l.handOut()
 }
 
-// setTargets creates the records of new targets. Targets of the first plan are
-// taken for warm; those that are added later start cold.
-func (l *loaded) setTargets(p *plan) {
+// setTargets creates the records of new targets. Targets of the first catalogue
+// are taken for warm unless it says otherwise; those that are added later start
+// cold.
+func (l *loaded) setTargets(targets []CatalogueTarget) {
 	now := l.now()
-	cold := now
-	if l.services.Load() == nil {
-		cold = now - l.ramp.Duration
-	}
-	ids := make([]string, 0, len(p.targets))
-	for id := range p.targets {
-		ids = append(ids, id)
+	first := l.services.Load() == nil
+	ids := make([]string, len(targets))
+	byID := make(map[string]*CatalogueTarget, len(targets))
+	for i := range targets {
+		ids[i] = targets[i].ID
+		byID[ids[i]] = &targets[i]
 	}
 	l.targets.SetTargets(ids, func(id string) targetState {
+		t := byID[id]
+		cold := now
+		if first {
+			cold = now - l.ramp.Duration + min(t.ColdFor, l.ramp.Duration)
+		}
 		return targetState{
 			stats:     replica.NewStats(l.settings, now),
-			local:     p.targets[id].Zone == l.self.Zone,
+			local:     t.Zone == l.self.Zone,
 			coldSince: cold,
 		}
 	})
@@ -307,8 +312,8 @@
 	cell.Lock().stats.Report(l.now(), replica.Hint{InFlight: r.InFlight, Slots: r.Slots, Unhealthy: r.Cold})
 }
 
-func (l *loaded) planned(req *request, primaries int) {
-	if s := l.service(req.service.Name); s != nil {
+func (l *loaded) planned(req *Request, primaries int) {
+	if s := l.service(req.Service); s != nil {
 		s.mu.Lock()
 		s.hedges.Primary(primaries)
 		s.mu.Unlock()
@@ -354,3 +359,24 @@
 	delay, _ := l.hedgeDelay(service)
 	return latencyMargin * delay
 }
+
+func (l *loaded) describeService(name string, row *adminapi.Service) {
+	s := l.service(name)
+	if s == nil {
+		return
+	}
+	l.admitMu.Lock()
+	defer l.admitMu.Unlock()
+	row.InFlight, row.Queued, row.Limit = s.admission.InFlight(), s.admission.Waiting(), s.admission.Limit()
+}
+
+func (l *loaded) describeTarget(id string, row *adminapi.Target) {
+	cell := l.targets.Get(id)
+	if cell == nil {
+		return
+	}
+	state := cell.Lock()
+	defer cell.Unlock()
+	row.InFlight = state.stats.InFlight()
+	row.EWMAMS = float64(state.stats.Latency(l.now()).Microseconds()) / 1_000
+}
--- /dev/null
+++ b/internal/engine/once.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"context"
+
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// RunOnce runs a request that may run once at most, on one target of its shard.
+// Another target is tried only after an attempt that provably did not run. The
+// outcome of an error tells whether the request may have run.
+func (e *Engine) RunOnce(ctx context.Context, req *Request) (*Result, error) {
+	release, err := e.admit(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	result, err := e.sendOnce(ctx, req)
+	release(loadResult(nil, err))
+	return result, err
+}
+
+func (e *Engine) sendOnce(ctx context.Context, req *Request) (*Result, error) {
+	chosen, _, ok := req.Work.Choose(e.usable, nil)
+	if !ok {
+		return nil, status.New(status.Unavailable, status.NotRun, "service %s has no snapshot", req.Service).WithRetryAfter(DefaultRetryAfter)
+	}
+	shard := 0
+	if req.SelectShard != nil {
+		shard = req.SelectShard(len(chosen.Shards))
+	}
+	req.Work.Start(chosen)
+	guarded, err := e.guardOnce(req)
+	if err != nil {
+		return nil, err
+	}
+	answered := false
+	defer func() { guarded.end(answered) }()
+	tried := guarded.avoid
+	var last error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
+	for number := uint32(1); number <= maxAttempts; number++ {
+		target, ok := e.policy.pick(chosen.Shards[shard], tried)
+		if !ok && number == 1 {
+			// Every replica crashed with this request before. The crash guard bounds
+			// how often it may run here again.
+			target, ok = e.policy.pick(chosen.Shards[shard], nil)
+		}
+		if !ok {
+			break
+		}
+		tried = append(tried, target)
+		reply, err := e.attemptOnce(ctx, req, Attempt{
+			Number: number, Shard: shard, Target: target, Snapshot: chosen.Snapshot, Once: true, Fresh: true,
+		})
+		guarded.attempted(target, err)
+		if err == nil {
+			answered = true
+			req.Work.Accept(shard, reply)
+			return &Result{Snapshot: chosen, Answered: 1}, nil
+		}
+		last = err
+		if status.From(err).Outcome != status.NotRun || ctx.Err() != nil {
+			break
+		}
+	}
+	se := *status.From(last)
+	if se.RetryAfter == 0 {
+		se.RetryAfter = DefaultRetryAfter
+	}
+	return nil, &se
+}
+
+func (e *Engine) attemptOnce(ctx context.Context, req *Request, a Attempt) (any, error) {
+	token := e.policy.start(req.Service, a.Target)
+	reply, err := req.Work.Send(ctx, a)
+	e.policy.finish(token, classOf(err))
+	e.metrics.attempt(err)
+	e.noteFailure(a.Target, req.ID, err)
+	return reply, err
+}
+
+// onceGuard relates the attempts of one request to crashes of targets.
+type onceGuard struct {
+	engine *Engine
+	req    *Request
+	alone  bool
+	// avoid lists targets that crashed with the request.
+	avoid []string
+}
+
+// guardOnce returns an error when the request is refused because it crashed targets.
+func (e *Engine) guardOnce(req *Request) (*onceGuard, error) {
+	g := &onceGuard{engine: e, req: req}
+	if e.guard == nil {
+		return g, nil
+	}
+	decision, _ := e.guard.decide(req.Fingerprint)
+	if err := decision.Err(); err != nil {
+		return nil, err
+	}
+	g.alone = decision.Verdict == quarantine.Alone
+	g.avoid = decision.Avoid
+	return g, nil
+}
+
+// attempted takes note of the end of an attempt.
+func (g *onceGuard) attempted(target string, err error) {
+	e := g.engine
+	if e.guard != nil && e.targetCrashed(target, err) {
+		e.metrics.Crashes.Add(1)
+		refused := e.guard.crashed(g.req.Fingerprint, target, g.alone)
+		e.noteCrash(target, g.req.ID, refused)
+		e.spread()
+	}
+}
+
+// end reports the end of a run that was allowed alone.
+func (g *onceGuard) end(answered bool) {
+	if g.alone {
+		g.engine.guard.ended(g.req.Fingerprint, answered)
+	}
+}
--- a/internal/entry/pause.go
+++ b/internal/engine/pause.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"context"
@@ -32,7 +32,7 @@
 	return &pauseGuard{
 		self:     self,
 		verify:   verify,
-		detector: pause.New(pause.DefaultSettings(), self.clock(), time.Now()),
+		detector: pause.New(pause.DefaultSettings(), self.Clock(), time.Now()),
 	}
 }
 
@@ -55,7 +55,7 @@
 func (g *pauseGuard) check() <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	gap, paused := g.detector.Tick(g.self.clock(), time.Now())
+	gap, paused := g.detector.Tick(g.self.Clock(), time.Now())
 	if paused && g.verified == nil {
 		verified := make(chan struct{})
 		g.verified = verified
--- a/internal/entry/policy.go
+++ b/internal/engine/policy.go
@@ -1,4 +1,4 @@
-package entry
+package engine
 
 import (
 	"context"
@@ -19,7 +19,7 @@
 type policy interface {
 	// admit waits until the request may run. The returned function must be
 	// called when it ended. An error has the outcome NotRun.
-	admit(ctx context.Context, req *request) (release func(admission.Result), err error)
+	admit(ctx context.Context, req *Request) (release func(admission.Result), err error)
 	// pick chooses a target that may get an attempt: one that is not leaving and
 	// not excluded.
 	pick(targets, exclude []string) (string, bool)
@@ -27,7 +27,7 @@
 	start(service, target string) attemptToken
 	finish(token attemptToken, class replica.Class)
 	// planned records the primary attempts of one query.
-	planned(req *request, primaries int)
+	planned(req *Request, primaries int)
 	// hedgeDelay returns the time after which an unanswered sub-request asks
 	// for a hedge, and false when hedging is off.
 	hedgeDelay(service string) (time.Duration, bool)
@@ -46,9 +46,9 @@
 	// describeService and describeTarget fill a row of the operators' status.
 	describeService(name string, row *adminapi.Service)
 	describeTarget(id string, row *adminapi.Target)
-	// setPlan tells the policy which services and targets exist, and how many
+	// setCatalogue tells the policy which services and targets exist, and how many
 	// entries share the targets.
-	setPlan(p *plan, entries int)
+	setCatalogue(c *Catalogue)
 }
 
 // attemptToken identifies one attempt in the statistics.
@@ -79,12 +79,12 @@
 	leaving *leavingSet
 }
 
-func (*baseline) admit(context.Context, *request) (func(admission.Result), error) {
+func (*baseline) admit(context.Context, *Request) (func(admission.Result), error) {
 	return func(admission.Result) {}, nil
 }
 
 func (b *baseline) pick(targets, exclude []string) (string, bool) {
-	now := b.self.clock()
+	now := b.self.Clock()
 	allowed := make([]string, 0, len(targets))
 	for _, t := range targets {
 		if !slices.Contains(exclude, t) && !b.leaving.has(t, now) {
@@ -99,14 +99,16 @@
 
 func (*baseline) start(string, string) attemptToken       { return attemptToken{} }
 func (*baseline) finish(attemptToken, replica.Class)      {}
-func (*baseline) planned(*request, int)                   {}
+func (*baseline) planned(*Request, int)                   {}
 func (*baseline) hedgeDelay(string) (time.Duration, bool) { return 0, false }
 func (*baseline) hedge(string, hedge.Progress) hedge.Decision {
 	return hedge.Decision{Verdict: hedge.Off}
 }
-func (*baseline) allowRetry(string) bool                   { return true }
-func (*baseline) silentAfter(string) time.Duration         { return 0 }
-func (*baseline) expectedLatency(string) time.Duration     { return 0 }
-func (*baseline) repliedWithin(string, time.Duration) bool { return false }
-func (*baseline) report(string, *targetapi.Status)         {}
-func (*baseline) setPlan(*plan, int)                       {}
+func (*baseline) allowRetry(string) bool                    { return true }
+func (*baseline) silentAfter(string) time.Duration          { return 0 }
+func (*baseline) expectedLatency(string) time.Duration      { return 0 }
+func (*baseline) repliedWithin(string, time.Duration) bool  { return false }
+func (*baseline) report(string, *targetapi.Status)          {}
+func (*baseline) setCatalogue(*Catalogue)                   {}
+func (*baseline) describeService(string, *adminapi.Service) {}
+func (*baseline) describeTarget(string, *adminapi.Target)   {}
--- a/internal/entry/query.go
+++ b/internal/engine/query.go
@@ -1,19 +1,17 @@
-package entry
+package engine
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
 
-	"github.com/balsamstall/balsamstall/coordination/coverage"
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/coordination/snapshot"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/status"
-	"github.com/balsamstall/balsamstall/protocol/targetapi"
-	"github.com/balsamstall/balsamstall/transport/callerhttp"
 )
 
 const (
@@ -26,19 +24,18 @@
 	none = -1
 )
 
-// searchAll runs an idempotent search over all shards.
-func (e *Engine) searchAll(ctx context.Context, req *request) callerhttp.Reply {
-	release, err := e.policy.admit(ctx, req)
+// Run runs an idempotent request over all shards. It returns when every shard
+// is resolved or the wait for the rest does not pay, and an error when no shard
+// has a reply. The outcome of an error tells whether the request may have run.
+func (e *Engine) Run(ctx context.Context, req *Request) (*Result, error) {
+	release, err := e.admit(ctx, req)
 	if err != nil {
-		return e.errorReply(req.id, err, "")
+		return nil, err
 	}
 	q := newQuery(e, req)
-	resp, err := q.run(ctx)
-	release(loadResult(resp, err))
-	if err != nil {
-		return e.errorReply(req.id, err, "")
-	}
-	return e.answerReply(resp)
+	result, err := q.run(ctx)
+	release(loadResult(q.missing(), err))
+	return result, err
 }
 
 // query is the scatter and gather of one request. Only the goroutine of the
@@ -46,16 +43,17 @@
 // results.
 type query struct {
 	engine  *Engine
-	req     *request
+	req     *Request
 	results chan attemptResult
 	timer   *time.Timer
 
 	snapshot *index.Snapshot
-	merger   *coverage.Merger
 	subs     []subRequest
 	// round counts the plans of this query; results of an earlier plan are dropped.
-	round    int
-	pending  int
+	round   int
+	pending int
+	// accepted counts the merged replies.
+	accepted int
 	attempts uint32
 	// excluded holds the snapshots that a target no longer serves.
 	excluded []ids.Snapshot
@@ -92,6 +90,9 @@
 	fresh    bool
 	launched bool
 	resolved bool
+	// answered is set when a reply was merged; reason is the last one to miss it.
+	answered bool
+	reason   callerapi.Reason
 	// hedgeAt is the time of the next hedge decision, zero for none.
 	hedgeAt  time.Time
 	repeated bool // An earlier hedge decision refused.
@@ -105,27 +106,24 @@
 	round  int
 	sub    int
 	target string
-	// fresh asks for a connection that was never used.
-	fresh bool
-	reply *targetapi.SearchReply
-	err   error
-	// fingerprint and alone describe the attempt to the crash guard.
-	fingerprint quarantine.Fingerprint
-	alone       bool
+	reply  any
+	err    error
+	// alone is set for an attempt under the verdict Alone.
+	alone bool
 	// crashed is set when the target crashed during the attempt, and refused
 	// when the request is refused from then on.
 	crashed, refused bool
 }
 
-func newQuery(e *Engine, req *request) *query {
+func newQuery(e *Engine, req *Request) *query {
 	return &query{engine: e, req: req, combined: status.NotRun, canary: none, trial: none}
 }
 
 // run returns the answer, or an error whose outcome tells whether any attempt
 // may have run. It returns when every shard is resolved, or shortly before the
 // deadline with a partial answer.
-func (q *query) run(ctx context.Context) (*callerapi.SearchResponse, error) {
-	ctx, cancel := context.WithDeadline(ctx, q.req.deadline.Add(-answerMargin))
+func (q *query) run(ctx context.Context) (*Result, error) {
+	ctx, cancel := context.WithDeadline(ctx, q.req.Deadline.Add(-answerMargin))
 	defer cancel()
 	if err := q.screen(); err != nil {
 		return nil, err
@@ -152,19 +150,20 @@
 // plan chooses the snapshot and sends the first attempt of every shard.
 func (q *query) plan(ctx context.Context) error {
 	e := q.engine
-	chosen, _, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], e.usable, q.isExcluded)
+	chosen, _, ok := q.req.Work.Choose(e.usable, q.isExcluded)
 	if !ok {
-		return status.New(status.Unavailable, status.NotRun, "service %s has no snapshot", q.req.service.Name).WithRetryAfter(defaultRetryAfter)
+		return status.New(status.Unavailable, status.NotRun, "service %s has no snapshot", q.req.Service).WithRetryAfter(DefaultRetryAfter)
 	}
-	if n := len(chosen.Shards); n > q.req.service.Limits.MaxFanout {
-		return status.New(status.TooLarge, status.NotRun, "the snapshot has %d shards and the sheet allows %d", n, q.req.service.Limits.MaxFanout)
+	if n, most := len(chosen.Shards), q.req.Contract.MaxFanout; most > 0 && n > most {
+		return status.New(status.TooLarge, status.NotRun, "the snapshot has %d shards and the sheet allows %d", n, most)
 	}
 	for i := range q.subs {
 		q.subs[i].cancel()
 	}
 	q.round++
 	q.snapshot = chosen
-	q.merger = coverage.New(chosen.Snapshot, len(chosen.Shards), nil)
+	q.req.Work.Start(chosen)
+	q.accepted = 0
 	q.subs = make([]subRequest, len(chosen.Shards))
 	q.pending = len(q.subs)
 	// The channel holds every result, so that no attempt blocks after the query ended.
@@ -199,8 +198,8 @@
 
 // replan starts the query over at another snapshot when the time allows.
 func (q *query) replan(ctx context.Context) bool {
-	left := time.Until(q.req.deadline) - answerMargin
-	expected := q.engine.policy.expectedLatency(q.req.service.Name)
+	left := time.Until(q.req.Deadline) - answerMargin
+	expected := q.engine.policy.expectedLatency(q.req.Service)
 	if !snapshot.Defaults().Replan(left, expected, q.round-1) {
 		return false
 	}
@@ -208,7 +207,7 @@
 	q.excluded = append(q.excluded, previous.Snapshot)
 	// Attempts of the first plan may still be running.
 	q.combined = status.Unknown
-	next, covered, ok := snapshot.Choose(q.req.plan.indexes[q.req.service.Name], q.engine.usable, q.isExcluded)
+	next, covered, ok := q.req.Work.Choose(q.engine.usable, q.isExcluded)
 	if !ok || covered < len(next.Shards) {
 		// A partial answer at the present snapshot beats another partial one.
 		return false
@@ -221,23 +220,38 @@
 	return q.plan(ctx) == nil
 }
 
-func (q *query) accept(i int, reply *targetapi.SearchReply) {
+func (q *query) accept(i int, reply any) {
 	s := &q.subs[i]
-	hits := make([]callerapi.Hit, len(reply.Hits))
-	for j, h := range reply.Hits {
-		hits[j] = callerapi.Hit{Shard: s.shard, ID: h.ID, Score: h.Score, Body: h.Body}
-	}
-	q.merger.Accept(s.shard, hits)
+	q.req.Work.Accept(s.shard, reply)
+	q.accepted++
+	s.answered = true
 	q.resolve(s)
 	q.cleared(i)
 }
 
 func (q *query) miss(i int, reason callerapi.Reason) {
 	s := &q.subs[i]
-	q.merger.Miss(s.shard, reason)
+	q.note(s, reason)
 	q.resolve(s)
 }
 
+// note records why a sub-request has no reply so far.
+func (q *query) note(s *subRequest, reason callerapi.Reason) {
+	s.reason = reason
+	q.req.Work.Miss(s.shard, reason)
+}
+
+// missing returns the reasons of the sub-requests without a reply.
+func (q *query) missing() []callerapi.Reason {
+	var reasons []callerapi.Reason
+	for i := range q.subs {
+		if s := &q.subs[i]; !s.answered {
+			reasons = append(reasons, cmp.Or(s.reason, callerapi.ReasonDeadline))
+		}
+	}
+	return reasons
+}
+
 func (q *query) resolve(s *subRequest) {
 	s.resolved = true
 	s.cancel()
@@ -245,7 +259,7 @@
 }
 
 // finish cancels what is outstanding and returns the answer.
-func (q *query) finish() (*callerapi.SearchResponse, error) {
+func (q *query) finish() (*Result, error) {
 	unfinished := false
 	for i := range q.subs {
 		if !q.subs[i].resolved {
@@ -256,24 +270,10 @@
 	if q.aborted != nil {
 		return nil, q.aborted
 	}
-	cov, hits, err := q.merger.Seal(q.req.service.Coverage.MinRatio)
-	if err != nil {
-		q.engine.violation("coverage", err)
-		return nil, err
-	}
-	if len(cov.Searched) == 0 {
+	if q.accepted == 0 {
 		return nil, q.failure(unfinished)
 	}
-	return &callerapi.SearchResponse{
-		RequestID:     q.req.id.String(),
-		Outcome:       status.Done,
-		Service:       q.req.service.Name,
-		Results:       hits,
-		Snapshot:      q.snapshot.Snapshot,
-		Coverage:      cov,
-		SheetRevision: q.req.plan.revision,
-		Entry:         q.engine.self.Entry,
-	}, nil
+	return &Result{Snapshot: q.snapshot, Answered: q.accepted}, nil
 }
 
 // failure is the error of a query without any reply.
@@ -289,7 +289,7 @@
 	} else if q.lastError != nil {
 		code = status.CodeOf(q.lastError)
 	}
-	return status.Wrap(q.lastError, code, outcome, "no shard could be searched").WithRetryAfter(defaultRetryAfter)
+	return status.Wrap(q.lastError, code, outcome, "no shard could be searched").WithRetryAfter(DefaultRetryAfter)
 }
 
 func reasonOf(code status.Code) callerapi.Reason {
--- /dev/null
+++ b/internal/engine/request.go
@@ -0,0 +1,99 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/index"
+)
+
+// Request is one request as the engine sees it. It is fixed from start to end.
+type Request struct {
+	// ID names the request in logs.
+	ID string
+	// Service is the key of statistics, budgets and admission.
+	Service string
+	// Contract holds the limits that the service sets.
+	Contract Contract
+	// Arrival is the time at which the request had been read.
+	Arrival time.Time
+	// Deadline is the time by which the final answer must leave.
+	Deadline time.Time
+	// Fingerprint identifies equal requests. Engine.Fingerprint returns it.
+	Fingerprint quarantine.Fingerprint
+	// SelectShard returns the only shard that a request under RunOnce concerns, of
+	// the given number. Nil selects the first.
+	SelectShard func(shards int) int
+	// Pools names the target group of each shard, whose repeats are bounded for the
+	// whole fleet. Nil charges repeats to the budgets of the service.
+	Pools []string
+	// Work is what the way in does with attempts and replies.
+	Work Work
+}
+
+// Contract holds the limits of one service.
+type Contract struct {
+	// Latency is the contracted latency. Admission gives a request that waits
+	// longer the lowest rank.
+	Latency time.Duration
+	// Goal is the time from arrival by which an answer earns its full value. The
+	// engine then stops waiting for the rest of the shards. Zero waits for every
+	// shard until the deadline.
+	Goal time.Duration
+	// MinRatio is the least part of the shards that makes an answer.
+	MinRatio float64
+	// MaxRuns is the number of targets that may run one sub-request. Zero selects
+	// 4.
+	MaxRuns int
+	// MaxFanout is the largest number of shards of one query. Zero sets no limit.
+	MaxFanout int
+	// CanaryWait is the head start of the first shard. Zero sends to all at once.
+	CanaryWait time.Duration
+	// Linger is the time for which an attempt whose shard was answered by another
+	// one may go on, so that its connection stays usable. Zero cancels it at once.
+	Linger time.Duration
+}
+
+// Attempt is one sub-request at one target.
+type Attempt struct {
+	// Number counts the attempts of the request from 1.
+	Number   uint32
+	Shard    int
+	Target   string
+	Snapshot ids.Snapshot
+	// Once is set for a request that may run once at most.
+	Once bool
+	// Fresh asks for a connection that was never used.
+	Fresh bool
+	// SilentAfter is the time without a reply after which the connection may count
+	// as silent. Zero turns the check off.
+	SilentAfter time.Duration
+}
+
+// Work is the part of a request that depends on its way in and on the protocol of
+// the targets. Send is called by many goroutines, the others by one.
+type Work interface {
+	// Choose returns the newest snapshot that is not excluded, and how many of its
+	// shards have a usable target. It returns false when there is none.
+	Choose(usable func(target string) bool, excluded func(ids.Snapshot) bool) (*index.Snapshot, int, bool)
+	// Start begins the merge of a snapshot. A second call discards the first merge.
+	Start(*index.Snapshot)
+	// Send sends one attempt and returns the reply. Every error is a
+	// *status.Error whose outcome is NotRun only with proof.
+	Send(context.Context, Attempt) (any, error)
+	// Accept merges the reply of a shard, once for each shard.
+	Accept(shard int, reply any)
+	// Miss records why a shard has no reply so far. A later Accept replaces it.
+	Miss(shard int, reason callerapi.Reason)
+}
+
+// Result describes a query that ended with at least one reply.
+type Result struct {
+	// Snapshot is the one that every merged reply belongs to.
+	Snapshot *index.Snapshot
+	// Answered counts the shards whose reply was merged.
+	Answered int
+}
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -83,7 +83,7 @@
 	f := newFakeFleet(t, 2, 12)
 	lost := crashTargets(f)
 	f.search(0, testKeyAsan, quote("poison"))
-	f.engine(1).guard.merge(f.engine(0).guard.facts(100))
+	f.engine(1).core.MergeCrashFacts(f.engine(0).core.CrashFacts(100))
 	got := f.search(1, testKeyAsan, quote("poison"))
 	is.Equal(got.fault.Code, status.Quarantined)
 	is.True(len(lost()) <= 2)
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -128,7 +128,7 @@
 	}()
 	d.metrics.Publish()
 	go d.engine.pollReports(ctx)
-	go d.engine.pause.run(ctx)
+	go d.engine.core.WatchPauses(ctx)
 	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
 	d.log.Info().Str("incarnation", d.self.Incarnation.String()).Str("callers", d.settings.CallerAddress).Msg("entry started")
 	err := d.app.Run()
@@ -172,10 +172,10 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			now := d.self.clock()
+			now := d.self.Clock()
 			d.engine.journal.Expire(now)
 			d.engine.inherited.Expire(now)
-			d.engine.leaving.expire(now)
+			d.engine.core.Expire()
 			d.engine.SetEntries(d.entryCount())
 			if d.settings.PolicyMode == settings.PolicyOn {
 				d.targets.Maintain()
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -14,8 +14,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/coordination/connshare"
-	"github.com/balsamstall/balsamstall/coordination/pause"
 	"github.com/balsamstall/balsamstall/coordination/permit"
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
@@ -33,21 +33,10 @@
 const (
 	// journalShards is the number of locks of the journal.
 	journalShards = 32
-	// defaultRetryAfter is recommended when no better estimate exists.
-	defaultRetryAfter = 200 * time.Millisecond
 )
 
 // Identity names this process.
-type Identity struct {
-	Entry       string
-	Zone        string
-	Incarnation ids.Incarnation
-	// Start is the origin of the clock that permits and the journal use.
-	Start time.Time
-}
-
-// clock returns the monotonic time since the start of the process.
-func (i Identity) clock() time.Duration { return time.Since(i.Start) }
+type Identity = engine.Identity
 
 // Targets sends attempts. targethttp.Client implements it.
 type Targets interface {
@@ -61,21 +50,16 @@
 
 // Engine runs requests. All methods are safe for concurrent use.
 type Engine struct {
-	self      Identity
-	log       zerolog.Logger
-	targets   Targets
-	peers     Forwarder
-	policy    policy
+	self    Identity
+	log     zerolog.Logger
+	targets Targets
+	peers   Forwarder
+	// core runs the requests.
+	core      *engine.Engine
 	signer    *permit.Signer
 	journal   *journal.Journal
 	inherited *journal.Inherited
-	// guard is nil when the load policies are off.
-	guard   *crashGuard
-	leaving *leavingSet
-	spread  func()
-	verify  func()
-	audit   *audit.Trail
-	pause   *pauseGuard
+	audit     *audit.Trail
 	// entries is the number of entries that share the targets' connections.
 	entries  atomic.Int64
 	inflight inflight.Table
@@ -111,48 +95,40 @@
 
 // New returns an engine that refuses requests until SetDocuments was called.
 func New(cfg Config) *Engine {
-	leaving := newLeavingSet()
-	if cfg.Spread == nil {
-		cfg.Spread = func() {}
-	}
-	if cfg.Verify == nil {
-		cfg.Verify = func() {}
-	}
 	if cfg.Audit == nil {
 		cfg.Audit = audit.New(zerolog.Nop())
 	}
-	var p policy = &baseline{self: cfg.Self, leaving: leaving}
-	var guard *crashGuard
-	if cfg.PolicyOn {
-		p = newLoaded(cfg.Self, leaving)
-		guard = newCrashGuard(cfg.Self, cfg.PermitKey)
-	}
 	e := &Engine{
-		self:      cfg.Self,
-		log:       cfg.Log,
-		targets:   cfg.Targets,
-		peers:     cfg.Peers,
-		policy:    p,
-		guard:     guard,
-		leaving:   leaving,
+		self:    cfg.Self,
+		log:     cfg.Log,
+		targets: cfg.Targets,
+		peers:   cfg.Peers,
+		core: engine.New(engine.Config{
+			Self:     cfg.Self,
+			Log:      cfg.Log,
+			Targets:  cfg.Targets,
+			GuardKey: cfg.PermitKey,
+			PolicyOn: cfg.PolicyOn,
+			Metrics:  &cfg.Metrics.Metrics,
+			Spread:   cfg.Spread,
+			Verify:   cfg.Verify,
+			Audit:    cfg.Audit,
+		}),
 		signer:    permit.NewSigner(cfg.PermitKey),
 		journal:   journal.New(journalShards),
 		inherited: journal.NewInherited(),
 		metrics:   cfg.Metrics,
-		spread:    cfg.Spread,
-		verify:    cfg.Verify,
 		audit:     cfg.Audit,
 		parts:     make(map[ids.Incarnation][]*peerpb.HandoverRequest),
 	}
 	e.entries.Store(1)
-	e.pause = newPauseGuard(cfg.Self, e.afterPause)
 	return e
 }
 
 // SetDocuments puts an accepted sheet and index in force for new requests.
 func (e *Engine) SetDocuments(s *sheet.Sheet, d *index.Document) {
 	p := newPlan(s, d)
-	e.policy.setPlan(p, int(e.entries.Load()))
+	e.core.SetCatalogue(p.catalogue(int(e.entries.Load())))
 	e.plan.Store(p)
 	e.metrics.SheetRevision.Set(int64(s.Revision))
 	e.metrics.IndexRevision.Set(int64(d.Revision))
@@ -165,7 +141,7 @@
 		return
 	}
 	if p := e.plan.Load(); p != nil {
-		e.policy.setPlan(p, n)
+		e.core.SetCatalogue(p.catalogue(n))
 		e.configureTargets(p)
 	}
 }
@@ -175,14 +151,6 @@
 	e.targets.Configure(p.sheet.Targets, func(t sheet.Target) int { return connshare.Share(t.MaxConnections, entries) })
 }
 
-// afterPause drops what a pause of the process may have made stale.
-func (e *Engine) afterPause(gap pause.Gap) {
-	e.metrics.Pauses.Add(1)
-	e.log.Warn().Dur("monotonic_gap", gap.Monotonic).Dur("wall_gap", gap.Wall).Msg("the process was paused; checking cached state")
-	e.targets.DropIdle()
-	e.verify()
-}
-
 // request is one authenticated request.
 type request struct {
 	id       ids.Request
@@ -190,6 +158,7 @@
 	search   callerapi.SearchRequest
 	service  *sheet.Service
 	plan     *plan
+	arrival  time.Time
 	deadline time.Time
 }
 
@@ -197,11 +166,11 @@
 func (e *Engine) Search(ctx context.Context, call callerhttp.Call) callerhttp.Reply {
 	id := e.nextID()
 	if !e.inflight.Begin(id.Sequence) {
-		err := status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(defaultRetryAfter)
+		err := status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter)
 		return e.errorReply(id, unproved(call.Search, err), "")
 	}
 	defer e.inflight.End(id.Sequence)
-	e.pause.wait(ctx)
+	e.core.AwaitVerified(ctx)
 	req, err := e.prepare(id, call)
 	if err != nil {
 		return e.errorReply(id, unproved(call.Search, err), "")
@@ -242,7 +211,7 @@
 func (e *Engine) prepare(id ids.Request, call callerhttp.Call) (*request, error) {
 	p := e.plan.Load()
 	if p == nil {
-		return nil, status.New(status.NotReady, status.NotRun, "no sheet and index are in force yet").WithRetryAfter(defaultRetryAfter)
+		return nil, status.New(status.NotReady, status.NotRun, "no sheet and index are in force yet").WithRetryAfter(engine.DefaultRetryAfter)
 	}
 	caller, err := p.authenticate(call.Key)
 	if err != nil {
@@ -268,6 +237,7 @@
 		search:   call.Search,
 		service:  svc,
 		plan:     p,
+		arrival:  call.Arrival,
 		deadline: call.Arrival.Add(time.Duration(budget) * time.Millisecond),
 	}, nil
 }
--- a/internal/entry/facts.go
+++ b/internal/entry/facts.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"maps"
 	"slices"
 	"sync"
@@ -50,25 +51,23 @@
 // Collect implements configsync.Facts.
 func (f *facts) Collect() configsync.FactSet {
 	var set configsync.FactSet
-	now := f.engine.self.clock()
-	if f.engine.guard != nil {
-		known := f.engine.guard.facts(maxFacts)
-		for _, r := range known.Refusals {
-			set.Quarantines = append(set.Quarantines, &peerpb.Quarantine{Fingerprint: r.Fingerprint[:], RemainingMs: r.Remaining.Milliseconds()})
-		}
-		for _, c := range known.Crashes {
-			set.Crashes = append(set.Crashes, &peerpb.Crash{Fingerprint: c.Fingerprint[:], Target: c.Target, RemainingMs: c.Remaining.Milliseconds()})
-		}
+	now := f.engine.self.Clock()
+	known := f.engine.core.CrashFacts(maxFacts)
+	for _, r := range known.Refusals {
+		set.Quarantines = append(set.Quarantines, &peerpb.Quarantine{Fingerprint: r.Fingerprint[:], RemainingMs: r.Remaining.Milliseconds()})
+	}
+	for _, c := range known.Crashes {
+		set.Crashes = append(set.Crashes, &peerpb.Crash{Fingerprint: c.Fingerprint[:], Target: c.Target, RemainingMs: c.Remaining.Milliseconds()})
 	}
-	set.Leaving = f.leaving(now)
+	set.Leaving = f.leaving()
 	set.Successions = f.validSuccessions(now)
 	return set
 }
 
 // leaving returns the leaving targets, those with the latest evidence first: it
 // has the latest end.
-func (f *facts) leaving(now time.Duration) []*peerpb.Leaving {
-	remaining := f.engine.leaving.remaining(now)
+func (f *facts) leaving() []*peerpb.Leaving {
+	remaining := f.engine.core.LeavingTargets()
 	targets := slices.SortedFunc(maps.Keys(remaining), func(a, b string) int {
 		return cmp.Or(cmp.Compare(remaining[b], remaining[a]), cmp.Compare(a, b))
 	})
@@ -102,7 +101,7 @@
 	for _, l := range set.Leaving {
 		left := time.Duration(l.RemainingMs)*time.Millisecond - leavingTravel
 		if left > 0 {
-			f.engine.MarkLeaving(l.Target, min(left, leavingPeriod))
+			f.engine.core.MarkLeaving(l.Target, min(left, engine.LeavingPeriod))
 		}
 	}
 	for _, s := range set.Successions {
@@ -113,9 +112,6 @@
 }
 
 func (f *facts) receiveCrashes(set configsync.FactSet) {
-	if f.engine.guard == nil {
-		return
-	}
 	var known quarantine.Facts
 	for _, q := range set.Quarantines {
 		if fp, err := quarantine.ParseFingerprint(q.Fingerprint); err == nil {
@@ -127,7 +123,7 @@
 			known.Crashes = append(known.Crashes, quarantine.CrashFact{Fingerprint: fp, Target: c.Target, Remaining: time.Duration(c.RemainingMs) * time.Millisecond})
 		}
 	}
-	f.engine.guard.merge(known)
+	f.engine.core.MergeCrashFacts(known)
 }
 
 // addSuccession records that an incarnation stopped and handed its journal over.
@@ -138,7 +134,7 @@
 	if _, ok := f.successions[stopped]; ok || len(f.successions) >= maxSuccessions {
 		return
 	}
-	f.successions[stopped] = succession{entry: entry, incarnation: incarnation, expires: f.engine.self.clock() + maxSuccessionAge}
+	f.successions[stopped] = succession{entry: entry, incarnation: incarnation, expires: f.engine.self.Clock() + maxSuccessionAge}
 }
 
 // maxSuccessionChain bounds the planned stops that successor follows.
@@ -149,7 +145,7 @@
 func (f *facts) successor(stopped ids.Incarnation) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.engine.self.clock()
+	now := f.engine.self.Clock()
 	entry, known := "", false
 	for range maxSuccessionChain {
 		s, ok := f.successions[stopped]
--- a/internal/entry/facts_test.go
+++ b/internal/entry/facts_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 )
 
@@ -23,7 +24,7 @@
 	for n := range count {
 		name := fmt.Sprintf("target-%03d", n)
 		targets = append(targets, name)
-		e.MarkLeaving(name, leavingPeriod)
+		e.core.MarkLeaving(name, engine.LeavingPeriod)
 		facts.addSuccession(ids.NewIncarnation(), name, ids.NewIncarnation())
 		time.Sleep(time.Microsecond) // Each fact gets a time of its own.
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/permit"
@@ -53,7 +54,7 @@
 		// An earlier use of the permit may have run, so the outcome is unknown
 		// even when this call was not sent.
 		unreachable := status.Wrap(err, status.IssuerUnreachable, status.Unknown, "entry %s, which issued the permit, is not reachable", holder)
-		return e.errorReply(req.id, unreachable.WithRetryAfter(defaultRetryAfter), "")
+		return e.errorReply(req.id, unreachable.WithRetryAfter(engine.DefaultRetryAfter), "")
 	}
 	return callerhttp.Reply{Status: int(reply.HttpStatus), Body: reply.Body, RetryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond}
 }
@@ -62,11 +63,11 @@
 func (e *Engine) HandleForward(ctx context.Context, fwd *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
 	id := e.nextID()
 	if !e.inflight.Begin(id.Sequence) {
-		err := status.New(status.Draining, status.Unknown, "this entry is stopping").WithRetryAfter(defaultRetryAfter)
+		err := status.New(status.Draining, status.Unknown, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter)
 		return forwardReply(e.errorReply(id, err, "")), nil
 	}
 	defer e.inflight.End(id.Sequence)
-	e.pause.wait(ctx)
+	e.core.AwaitVerified(ctx)
 	req, err := e.prepareForwarded(id, fwd)
 	if err != nil {
 		return forwardReply(e.errorReply(id, err, "")), nil
@@ -92,7 +93,7 @@
 func (e *Engine) prepareForwarded(id ids.Request, fwd *peerpb.ForwardRequest) (*request, error) {
 	p := e.plan.Load()
 	if p == nil {
-		return nil, status.New(status.NotReady, status.Unknown, "no sheet and index are in force yet").WithRetryAfter(defaultRetryAfter)
+		return nil, status.New(status.NotReady, status.Unknown, "no sheet and index are in force yet").WithRetryAfter(engine.DefaultRetryAfter)
 	}
 	var search callerapi.SearchRequest
 	if err := json.Unmarshal(fwd.Search, &search); err != nil {
@@ -112,7 +113,7 @@
 		timeout = min(timeout, time.Until(time.UnixMilli(fwd.DeadlineUnixMs)))
 	}
 	if timeout <= 0 {
-		return nil, status.New(status.DeadlineExceeded, status.Unknown, "the request arrived after its deadline").WithRetryAfter(defaultRetryAfter)
+		return nil, status.New(status.DeadlineExceeded, status.Unknown, "the request arrived after its deadline").WithRetryAfter(engine.DefaultRetryAfter)
 	}
 	return &request{id: id, caller: caller, search: search, service: svc, plan: p, deadline: time.Now().Add(timeout)}, nil
 }
@@ -120,7 +121,7 @@
 // answerInherited answers for a permit of an incarnation that stopped, from the
 // journal that it handed over.
 func (e *Engine) answerInherited(req *request, claims permit.Claims) callerhttp.Reply {
-	record, finding := e.inherited.Lookup(claims.Issuer, claims.Sequence, claims.Expires(), e.self.clock())
+	record, finding := e.inherited.Lookup(claims.Issuer, claims.Sequence, claims.Expires(), e.self.Clock())
 	switch finding {
 	case journal.Found:
 		return e.replay(req.id, record)
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -35,7 +35,7 @@
 // HandoverParts returns the journal, and those of stopped incarnations that this
 // entry holds, as messages for the successor. The journal must be sealed.
 func (e *Engine) HandoverParts() ([]*peerpb.HandoverRequest, error) {
-	now := e.self.clock()
+	now := e.self.Clock()
 	records, err := e.journal.Export(now)
 	if err != nil {
 		return nil, err
@@ -133,7 +133,7 @@
 	if int64(len(h.Records)) != in.TotalRecords {
 		return nil, status.New(status.InvalidArgument, "", "the handover has %d of %d records", len(h.Records), in.TotalRecords)
 	}
-	e.inherited.Import(inc, h, e.self.clock())
+	e.inherited.Import(inc, h, e.self.Clock())
 	e.log.Info().Str("from", in.Entry).Int("records", len(h.Records)).Msg("took over the journal of a stopping entry")
 	e.audit.Record(time.Now(), audit.Succession, "peer "+in.Entry,
 		fmt.Sprintf("took over the journal of %s, incarnation %s: %d records", in.Entry, inc, len(h.Records)))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -4,12 +4,14 @@
 	"expvar"
 	"net/http"
 
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 // Metrics counts what an entry did since its start.
 type Metrics struct {
+	engine.Metrics
 	// Answered counts complete and partial answers.
 	Answered expvar.Int
 	// Partial counts answers with less than full coverage.
@@ -20,16 +22,6 @@
 	ServiceAnswered, ServiceRefused expvar.Map
 	// Refused counts refusals by code.
 	Refused expvar.Map
-	// Attempts counts attempts at targets that ended, by code; "ok" is a reply.
-	Attempts expvar.Map
-	// Hedges counts second attempts at another target.
-	Hedges expvar.Int
-	// Crashes counts attempts that coincided with a crash of their target.
-	Crashes expvar.Int
-	// LeavingTargets counts targets that were found to be leaving.
-	LeavingTargets expvar.Int
-	// Pauses counts pauses of the process.
-	Pauses expvar.Int
 	// Forwards counts requests sent to another entry.
 	Forwards expvar.Int
 	// Replays counts remembered answers.
@@ -43,8 +35,6 @@
 	// SheetRevision and IndexRevision are those in force, 0 until both documents
 	// are known.
 	SheetRevision, IndexRevision expvar.Int
-	// Violations counts failed invariants by name. Any value is a fault.
-	Violations expvar.Map
 }
 
 // NewMetrics returns metrics with zero counts.
@@ -113,17 +103,3 @@
 }
 
 func (m *Metrics) refused(err *status.Error) { m.Refused.Add(string(err.Code), 1) }
-
-func (m *Metrics) attempt(err error) {
-	code := string(status.CodeOf(err))
-	if code == "" {
-		code = "ok"
-	}
-	m.Attempts.Add(code, 1)
-}
-
-// violation records a failed invariant.
-func (e *Engine) violation(name string, err error) {
-	e.metrics.Violations.Add(name, 1)
-	e.log.Error().Str("invariant", name).Err(err).Msg("invariant violated")
-}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -62,39 +62,15 @@
 	report.SheetRevision, report.IndexRevision = p.revision, p.indexRevision
 	for name := range p.services {
 		row := adminapi.Service{Name: name}
-		e.policy.describeService(name, &row)
+		e.core.DescribeService(name, &row)
 		row.Answered, row.Refused = e.metrics.service(name)
 		report.Services = append(report.Services, row)
 	}
 	for id, t := range p.targets {
-		row := adminapi.Target{ID: id, Zone: t.Zone, Leaving: e.leaving.has(id, e.self.clock()), OpenConnections: e.targets.Connections(id)}
-		e.policy.describeTarget(id, &row)
+		row := adminapi.Target{ID: id, Zone: t.Zone, Leaving: e.core.Leaving(id), OpenConnections: e.targets.Connections(id)}
+		e.core.DescribeTarget(id, &row)
 		report.Targets = append(report.Targets, row)
 	}
 	slices.SortFunc(report.Services, func(a, b adminapi.Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(report.Targets, func(a, b adminapi.Target) int { return cmp.Compare(a.ID, b.ID) })
 }
-
-func (*baseline) describeService(string, *adminapi.Service) {}
-func (*baseline) describeTarget(string, *adminapi.Target)   {}
-
-func (l *loaded) describeService(name string, row *adminapi.Service) {
-	s := l.service(name)
-	if s == nil {
-		return
-	}
-	l.admitMu.Lock()
-	defer l.admitMu.Unlock()
-	row.InFlight, row.Queued, row.Limit = s.admission.InFlight(), s.admission.Waiting(), s.admission.Limit()
-}
-
-func (l *loaded) describeTarget(id string, row *adminapi.Target) {
-	cell := l.targets.Get(id)
-	if cell == nil {
-		return
-	}
-	state := cell.Lock()
-	defer cell.Unlock()
-	row.InFlight = state.stats.InFlight()
-	row.EWMAMS = float64(state.stats.Latency(l.now()).Microseconds()) / 1_000
-}
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"slices"
 
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -109,3 +110,25 @@
 	}
 	return svc, nil
 }
+
+// catalogue describes the plan to the core.
+func (p *plan) catalogue(entries int) *engine.Catalogue {
+	c := &engine.Catalogue{Entries: entries}
+	for name, svc := range p.services {
+		slots, shards := p.capacity(name)
+		c.Services = append(c.Services, engine.CatalogueService{
+			Name:           name,
+			Priority:       svc.Priority,
+			MaxConcurrency: svc.Limits.MaxConcurrency,
+			MaxQueue:       svc.Limits.MaxQueue,
+			HedgeRatio:     svc.Hedge.BudgetRatio,
+			AtMostOnce:     svc.Repeat.Rule == sheet.AtMostOnce,
+			Slots:          slots,
+			Shards:         shards,
+		})
+	}
+	for id, t := range p.targets {
+		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: id, Zone: t.Zone, Slots: t.Slots})
+	}
+	return c
+}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"math/rand/v2"
 	"time"
 )
@@ -30,7 +31,7 @@
 		gap := reportInterval / time.Duration(max(len(ids), 1))
 		for _, id := range ids {
 			// A target that just replied is known better than its report tells.
-			if !e.policy.repliedWithin(id, reportInterval) {
+			if !e.core.RepliedWithin(id, reportInterval) {
 				go e.readReport(ctx, id)
 			}
 			sleep(ctx, gap/2+time.Duration(rand.Int64N(int64(gap))))
@@ -45,9 +46,9 @@
 	if err != nil {
 		return // The attempts themselves tell whether the target works.
 	}
-	e.policy.report(target, report)
+	e.core.Report(target, report)
 	if report.Draining {
-		e.MarkLeaving(target, leavingPeriod)
+		e.core.MarkLeaving(target, engine.LeavingPeriod)
 	}
 }
 
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
@@ -71,7 +72,7 @@
 func (d *Daemon) onHosts(hosts []platformapi.Host) {
 	for _, h := range hosts {
 		if h.Kind == platformapi.KindTarget && h.State == platformapi.HostLeaving {
-			d.engine.MarkLeaving(h.ID, leavingPeriod)
+			d.engine.core.MarkLeaving(h.ID, engine.LeavingPeriod)
 		}
 	}
 }
