--- a/cmd/balsam-entry/main.go
+++ b/cmd/balsam-entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -20,15 +21,17 @@
 )
 
 type arguments struct {
-	Config string `required:"" help:"Settings file (JSON)." type:"path"`
-	Check  bool   `help:"Check the settings file and exit."`
+	Config   string `required:"" help:"Settings file (JSON)." type:"path" env:"BALSAMSTALL_NODE_FILE"`
+	Platform bool   `help:"Relay the requests of the users' platform. The settings are those of a relay."`
+	Check    bool   `help:"Check the settings file and exit."`
 }
 
 const description = `Serves callers of the query tier.
 
 Examples:
   balsam-entry --config entry-1.json --check   # check the settings
-  balsam-entry --config entry-1.json           # serve until SIGTERM`
+  balsam-entry --config entry-1.json           # serve until SIGTERM
+  balsam-entry --config relay.json --platform  # relay the platform's requests`
 
 func main() {
 	var args arguments
@@ -36,27 +39,41 @@
 	if _, err := parser.Parse(os.Args[1:]); err != nil {
 		fail(exitUsage, err)
 	}
+	if args.Platform {
+		set := settings.NewRelay()
+		log := start(args, set, &set.LogLevel, os.Stdout)
+		if err := relayPlatform(set, log); err != nil {
+			fail(exitFailed, err)
+		}
+		return
+	}
 	set := settings.NewEntry()
+	log := start(args, set, &set.LogLevel, os.Stderr)
+	daemon, err := entry.NewDaemon(set, log)
+	if err != nil {
+		fail(exitFailed, err)
+	}
+	if err := daemon.Run(); err != nil {
+		fail(exitFailed, err)
+	}
+}
+
+// start loads the settings and returns the logger. With --check it exits.
+func start(args arguments, set settings.Checker, level *string, out io.Writer) zerolog.Logger {
 	if err := settings.Load(args.Config, set); err != nil {
 		fail(exitUsage, err)
 	}
 	if args.Check {
 		fmt.Printf("%s: valid\n", args.Config)
-		return
+		os.Exit(0)
 	}
-	level, err := zerolog.ParseLevel(set.LogLevel)
+	l, err := zerolog.ParseLevel(*level)
 	if err != nil {
 		fail(exitUsage, err)
 	}
-	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	log := zerolog.New(out).Level(l).With().Timestamp().Logger()
 	entry.UseKratosLogger(log)
-	daemon, err := entry.NewDaemon(set, log)
-	if err != nil {
-		fail(exitFailed, err)
-	}
-	if err := daemon.Run(); err != nil {
-		fail(exitFailed, err)
-	}
+	return log
 }
 
 func fail(code int, err error) {
--- /dev/null
+++ b/cmd/balsam-entry/platform.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"net"
+	"runtime/debug"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/internal/entry"
+	"github.com/balsamstall/balsamstall/internal/relay"
+	"github.com/balsamstall/balsamstall/internal/settings"
+	"github.com/balsamstall/balsamstall/platform/backend"
+	"github.com/balsamstall/balsamstall/platform/gateway"
+	"github.com/balsamstall/balsamstall/platform/store"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+// memoryShare is the part of the process's memory at which the collector works
+// harder. The rest is for stacks and for bytes that wait in sockets.
+const memoryShare = 0.7
+
+// relayPlatform serves the users' platform.
+func relayPlatform(set *settings.Relay, log zerolog.Logger) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB<<20)))
+	documents, err := store.New(set.PlatformAddress, log)
+	if err != nil {
+		return err
+	}
+	defer documents.Close()
+	daemon, err := entry.NewRelayDaemon(set, log, entry.RelayPorts{
+		Documents: documents,
+		Targets:   func(m targethttp.Metrics) relay.Targets { return backend.New(m) },
+		Servers: func(callers, ready net.Listener, r *relay.Relay) []transport.Server {
+			return []transport.Server{gateway.NewServer(callers, r), gateway.NewReadyServer(ready, r)}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	return daemon.Run()
+}
--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -12,6 +12,7 @@
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
 	"github.com/balsamstall/balsamstall/state/audit"
 )
 
@@ -110,6 +111,12 @@
 			return nil, err
 		}
 		value, parsed = doc, doc.Revision
+	case platformapi.TargetsKey:
+		doc, err := s.deps.ParseTargets(content.Bytes())
+		if err != nil {
+			return nil, err
+		}
+		value, parsed = doc, doc.Revision
 	}
 	return value, sameRevision(parsed, rev)
 }
@@ -134,6 +141,14 @@
 			return true, err
 		}
 		return true, sameRevision(doc.Revision, rev)
+	case *targetlist.Document:
+		if s.deps.CheckTargets == nil {
+			return false, nil
+		}
+		if err := s.deps.CheckTargets(doc); err != nil {
+			return true, err
+		}
+		return true, sameRevision(doc.Revision, rev)
 	}
 	return false, nil
 }
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -19,6 +19,7 @@
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
 	"github.com/balsamstall/balsamstall/state/audit"
 )
 
@@ -28,6 +29,7 @@
 	DefaultPollInterval     = 30 * time.Second
 	DefaultHostInterval     = 2 * time.Second
 	DefaultWatchWait        = 10 * time.Second
+	DefaultMaxBackoff       = 30 * time.Second
 	DefaultCallTimeout      = time.Second
 	DefaultStartupTimeout   = 3 * time.Second
 	defaultExchangeInterval = membership.DefaultInterval
@@ -35,6 +37,9 @@
 
 // Config holds the settings of a Syncer. Zero values select the defaults.
 type Config struct {
+	// Keys are the documents that are kept up to date. The default is the sheet and
+	// the index.
+	Keys []string
 	// Entry is the id of this entry, Zone its availability zone and Address
 	// where it serves peers, as IP:port.
 	Entry, Zone, Address string
@@ -59,6 +64,12 @@
 	// WatchWait is the longest time that a watch waits at the platform. The
 	// default is 10 s.
 	WatchWait time.Duration
+	// MaxBackoff bounds the pause after failed calls to the platform. The default is
+	// 30 s.
+	MaxBackoff time.Duration
+	// ReadGap is the least time from one change that a watch returned to the next
+	// call, so that changes in quick succession take one call. The default is 0.
+	ReadGap time.Duration
 	// CallTimeout bounds a call to a peer. The default is 1 s.
 	CallTimeout time.Duration
 	// StartupTimeout bounds Refresh, with which a starting entry asks its peers
@@ -73,6 +84,10 @@
 type Peer struct{ Entry, Zone, Address string }
 
 func (c Config) withDefaults() Config {
+	if c.Keys == nil {
+		c.Keys = []string{platformapi.SheetKey, platformapi.IndexKey}
+	}
+	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
 	setDefault(&c.PushFanout, DefaultPushFanout)
 	setDefault(&c.ExchangeInterval, defaultExchangeInterval)
 	setDefault(&c.PollInterval, DefaultPollInterval)
@@ -137,12 +152,16 @@
 	// ParseSheet and ParseIndex validate a whole document.
 	ParseSheet func([]byte) (*sheet.Sheet, error)
 	ParseIndex func([]byte) (*index.Document, error)
+	// ParseTargets is needed when Keys has the targets.
+	ParseTargets func([]byte) (*targetlist.Document, error)
 	// CheckSheet and CheckIndex return the first fault of a decoded document,
 	// or nil; they find every fault that ParseSheet and ParseIndex find after
 	// decoding. With them only the changed parts of a document are decoded.
 	// Without them, as by default, each document is decoded as a whole.
 	CheckSheet func(*sheet.Sheet) error
 	CheckIndex func(*index.Document) error
+	// CheckTargets may be nil like the others.
+	CheckTargets func(*targetlist.Document) error
 	// OnReadFailure is called for each failed call to the platform with the key
 	// of the document, or with HostsFailure. It must not block. It may be nil.
 	OnReadFailure func(key string)
@@ -162,6 +181,8 @@
 	// Index is nil until an index is known.
 	Index       *index.Document
 	IndexDigest revision.Digest
+	// Targets is nil until a list of targets is known, and where none is kept.
+	Targets *targetlist.Document
 }
 
 // Member is another entry.
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -227,13 +227,13 @@
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 1))
 	for failures := 1; failures < 100; failures++ {
-		pause := backoff(rng, failures, 0)
-		is.True(pause >= firstBackoff/2 && pause <= maxBackoff)
-		is.True(failures < backoffDoublings+1 || pause >= maxBackoff/2)
-		stated := backoff(rng, failures, 4*time.Second)
+		pause := backoff(rng, failures, 0, DefaultMaxBackoff)
+		is.True(pause >= firstBackoff/2 && pause <= DefaultMaxBackoff)
+		is.True(failures < backoffDoublings+1 || pause >= DefaultMaxBackoff/2)
+		stated := backoff(rng, failures, 4*time.Second, DefaultMaxBackoff)
 		is.True(stated >= 4*time.Second && stated <= 6*time.Second)
 	}
-	first, second := backoff(rng, 9, 0), backoff(rng, 9, 0)
+	first, second := backoff(rng, 9, 0, DefaultMaxBackoff), backoff(rng, 9, 0, DefaultMaxBackoff)
 	is.True(first != second)
 }
 
@@ -404,7 +404,7 @@
 func BenchmarkExchange(b *testing.B) {
 	for _, n := range []int{9, 300, 5300} {
 		s := New(Config{Entry: "e", Zone: "z0", Address: "10.0.0.1:7000"}, Deps{Audit: audit.New(zerolog.Nop()), ParseSheet: parseSheet, ParseIndex: parseIndex})
-		for i, key := range keys {
+		for i, key := range (Config{}).withDefaults().Keys {
 			content, err := delta.New([]byte(fmt.Sprintf(`{"revision":%d}`, i+1)))
 			if err != nil {
 				b.Fatal(err)
--- a/internal/configsync/decode.go
+++ b/internal/configsync/decode.go
@@ -9,6 +9,7 @@
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
 )
 
 // decodeChanged decodes the parts of a document that differ from the one in
@@ -28,17 +29,23 @@
 	case platformapi.SheetKey:
 		old := base.Value.(*sheet.Sheet)
 		s := &sheet.Sheet{}
-		ok = decodeStrictly(reduced, s, "workspaces", "callers", "targets", "services") &&
+		ok = decodeStrictly(reduced, s, "workspaces", "callers", "targets", "services", "groups") &&
 			mergeInto(&s.Workspaces, reduced.Origins["workspaces"], old.Workspaces) &&
 			mergeInto(&s.Callers, reduced.Origins["callers"], old.Callers) &&
 			mergeInto(&s.Targets, reduced.Origins["targets"], old.Targets) &&
-			mergeInto(&s.Services, reduced.Origins["services"], old.Services)
+			mergeInto(&s.Services, reduced.Origins["services"], old.Services) &&
+			mergeInto(&s.Groups, reduced.Origins["groups"], old.Groups)
 		return s, ok
 	case platformapi.IndexKey:
 		d := &index.Document{}
 		ok = decodeStrictly(reduced, d, "services") &&
 			mergeInto(&d.Services, reduced.Origins["services"], base.Value.(*index.Document).Services)
 		return d, ok
+	case platformapi.TargetsKey:
+		d := &targetlist.Document{}
+		ok = decodeStrictly(reduced, d, "targets") &&
+			mergeInto(&d.Targets, reduced.Origins["targets"], base.Value.(*targetlist.Document).Targets)
+		return d, ok
 	}
 	return nil, false
 }
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -52,7 +52,7 @@
 		Leaving:     someFacts(s.rng, facts.Leaving),
 		Successions: someFacts(s.rng, facts.Successions),
 	}
-	for _, key := range keys {
+	for _, key := range s.cfg.Keys {
 		if v := s.store.Version(key); !v.IsZero() {
 			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Revision: v.Revision, Digest: v.Digest[:]})
 		}
@@ -271,7 +271,7 @@
 	peers := s.table.Fanout(time.Now(), s.rng, refreshPeers)
 	s.mu.Unlock()
 	s.exchangeWith(ctx, peers)
-	for _, key := range keys {
+	for _, key := range s.cfg.Keys {
 		s.fetchOffers(ctx, key)
 	}
 }
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// firstBackoff and maxBackoff bound the pause after failed calls.
+	// firstBackoff is the pause after the first failed call; Config.MaxBackoff bounds
+	// the later ones.
 	firstBackoff = 250 * time.Millisecond
-	maxBackoff   = 30 * time.Second
-	// backoffDoublings reaches maxBackoff from firstBackoff.
+	// backoffDoublings reaches the default of MaxBackoff from firstBackoff.
 	backoffDoublings = 7
 	// minCallGap bounds the rate of calls for one key when a platform answers
 	// watches at once without news.
@@ -33,11 +33,11 @@
 // least 1. The upper half of it is random, so that entries that failed together
 // do not come back together. A time that the platform stated is kept, with up
 // to half of it added.
-func backoff(rng *rand.Rand, failures int, retryAfter time.Duration) time.Duration {
+func backoff(rng *rand.Rand, failures int, retryAfter, most time.Duration) time.Duration {
 	if retryAfter > 0 {
 		return retryAfter + time.Duration(rng.Int64N(int64(retryAfter)/2+1))
 	}
-	pause := min(firstBackoff<<min(failures-1, backoffDoublings), maxBackoff)
+	pause := min(firstBackoff<<min(failures-1, backoffDoublings), most)
 	return pause/2 + time.Duration(rng.Int64N(int64(pause)/2+1))
 }
 
@@ -79,6 +79,8 @@
 		f.nextPoll = time.Now().Add(s.pollPause())
 		if !changed {
 			sleep(ctx, min(minCallGap, s.cfg.WatchWait)-time.Since(began))
+		} else if s.cfg.ReadGap > 0 {
+			sleep(ctx, s.cfg.ReadGap)
 		}
 	}
 }
@@ -116,7 +118,7 @@
 // pausePlatform waits after a failed call.
 func (s *Syncer) pausePlatform(ctx context.Context, f *follower, err error) {
 	s.mu.Lock()
-	pause := backoff(s.rng, f.failures, status.From(err).RetryAfter)
+	pause := backoff(s.rng, f.failures, status.From(err).RetryAfter, s.cfg.MaxBackoff)
 	s.mu.Unlock()
 	f.nextPoll = time.Now().Add(pause)
 	if ctx.Err() != nil {
@@ -157,7 +159,7 @@
 		if err != nil {
 			failures++
 			s.mu.Lock()
-			pause := backoff(s.rng, failures, status.From(err).RetryAfter)
+			pause := backoff(s.rng, failures, status.From(err).RetryAfter, s.cfg.MaxBackoff)
 			s.mu.Unlock()
 			if ctx.Err() == nil {
 				s.readFailed(HostsFailure)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -12,11 +12,9 @@
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
 )
 
-// keys are the documents that are kept up to date.
-var keys = [...]string{platformapi.SheetKey, platformapi.IndexKey}
-
 const (
 	// maxExchanges bounds the calls of exchanges and pushes that run at once. A
 	// peer that does not answer holds one for CallTimeout.
@@ -58,8 +56,8 @@
 	s := &Syncer{
 		cfg:     cfg,
 		deps:    deps,
-		store:   documents.New(keys[:]...),
-		offers:  make(map[string]*offerQueue, len(keys)),
+		store:   documents.New(cfg.Keys...),
+		offers:  make(map[string]*offerQueue, len(cfg.Keys)),
 		calls:   make(chan struct{}, maxExchanges),
 		changed: make(chan struct{}, 1),
 		news:    make(chan struct{}, 1),
@@ -70,7 +68,7 @@
 		}),
 		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	for _, key := range keys {
+	for _, key := range cfg.Keys {
 		s.offers[key] = &offerQueue{signal: make(chan struct{}, 1)}
 	}
 	s.view.Store(&View{})
@@ -89,7 +87,7 @@
 	running.Go(func() { s.notify(ctx) })
 	s.Refresh(ctx)
 	s.asked.Store(true)
-	for _, key := range keys {
+	for _, key := range s.cfg.Keys {
 		running.Go(func() { s.followPlatform(ctx, key) })
 		running.Go(func() { s.followOffers(ctx, key) })
 	}
@@ -100,11 +98,15 @@
 // Current returns what is in force. It takes no lock.
 func (s *Syncer) Current() *View { return s.view.Load() }
 
-// Ready reports whether a sheet and an index are in force and the peers were
-// asked for newer ones.
+// Ready reports whether every document is in force and the peers were asked for
+// newer ones.
 func (s *Syncer) Ready() bool {
-	v := s.view.Load()
-	return s.asked.Load() && v.Sheet != nil && v.Index != nil
+	for _, key := range s.cfg.Keys {
+		if s.store.Current(key) == nil {
+			return false
+		}
+	}
+	return s.asked.Load()
 }
 
 // Members returns the other entries that are known.
@@ -158,6 +160,9 @@
 	if doc := s.store.Current(platformapi.IndexKey); doc != nil {
 		view.Index, view.IndexDigest = doc.Value.(*index.Document), doc.Version.Digest
 	}
+	if doc := s.store.Current(platformapi.TargetsKey); doc != nil {
+		view.Targets = doc.Value.(*targetlist.Document)
+	}
 	s.view.Store(view)
 	s.viewMu.Unlock()
 	signal(s.changed)
--- a/internal/engine/admit.go
+++ b/internal/engine/admit.go
@@ -11,6 +11,9 @@
 
 // admit implements policy.
 func (l *loaded) admit(ctx context.Context, req *Request) (func(admission.Result), error) {
+	if req.Unlimited {
+		return func(admission.Result) {}, nil
+	}
 	s := l.service(req.Service)
 	if s == nil {
 		return nil, status.New(status.Unavailable, status.NotRun, "service %s was removed", req.Service)
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -24,7 +24,7 @@
 	s := &q.subs[i]
 	s.launched = true
 	s.started = time.Now()
-	if delay, ok := q.engine.policy.hedgeDelay(q.req.Service); ok {
+	if delay, ok := q.engine.policy.hedgeDelay(q.req); ok {
 		s.hedgeAt = s.started.Add(delay)
 	}
 	if i == q.canary && i != q.trial {
@@ -46,7 +46,7 @@
 // launch sends an attempt of a sub-request to a target that was not tried yet.
 func (q *query) launch(i int) bool {
 	s := &q.subs[i]
-	if s.attempts >= maxAttempts {
+	if s.attempts >= maxAttempts || q.req.Contract.MaxRuns > 0 && s.ran+s.outstanding >= q.req.Contract.MaxRuns {
 		return false
 	}
 	exclude := s.tried
@@ -81,7 +81,7 @@
 	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
 	e.noteFailure(r.target, req.ID, r.err)
-	if e.guard != nil && e.targetCrashed(r.target, r.err) {
+	if e.guarded(req) && e.targetCrashed(r.target, r.err) {
 		e.metrics.Crashes.Add(1)
 		r.crashed = true
 		// Recorded here because the query may have ended already.
@@ -102,6 +102,12 @@
 	}
 	s := &q.subs[r.sub]
 	s.outstanding--
+	if mayHaveArrived(r.err) {
+		s.arrived++
+	}
+	if r.err == nil || status.From(r.err).Outcome != status.NotRun {
+		s.ran++
+	}
 	if r.crashed {
 		q.crashed(r.sub, r.refused)
 		return
@@ -128,7 +134,7 @@
 		s.fresh = true
 	}
 	reason := reasonOf(code)
-	switch q.mayRetry(code) {
+	switch q.mayRetry(s, code) {
 	case retryAllowed:
 		if q.launch(r.sub) {
 			return
@@ -160,6 +166,23 @@
 	}
 }
 
+// mayHaveArrived reports whether an attempt with this error may have reached its
+// target. A refusal by the target has.
+func mayHaveArrived(err error) bool {
+	if err == nil {
+		return true
+	}
+	se := status.From(err)
+	if se.Outcome != status.NotRun {
+		return true
+	}
+	switch se.Code {
+	case status.ConnectionFailed, status.NoReplica, status.Canceled, status.DeadlineExceeded:
+		return false
+	}
+	return true
+}
+
 // retryVerdict says whether a failed attempt may be followed by another.
 type retryVerdict int
 
@@ -173,14 +196,23 @@
 
 // mayRetry decides about a retry. A silent connection is replaced without charge:
 // each one closes a connection, which bounds the number of such retries.
-func (q *query) mayRetry(code status.Code) retryVerdict {
+func (q *query) mayRetry(s *subRequest, code status.Code) retryVerdict {
 	switch code {
 	case status.Canceled, status.DeadlineExceeded:
 		return retryPointless
+	}
+	if q.req.Pools != nil {
+		// The next attempt is no repeat while none has reached a target.
+		if s.arrived+s.outstanding == 0 || q.engine.policy.allowRetry(q.req, s.shard) {
+			return retryAllowed
+		}
+		return retryOverBudget
+	}
+	switch code {
 	case status.ConnectionSilent, status.VersionUnavailable, status.Draining:
 		return retryAllowed
 	}
-	if q.engine.policy.allowRetry(q.req.Service) {
+	if q.engine.policy.allowRetry(q.req, s.shard) {
 		return retryAllowed
 	}
 	return retryOverBudget
--- a/internal/engine/canary.go
+++ b/internal/engine/canary.go
@@ -17,7 +17,7 @@
 // that the sheet allows, because a whole reply would double the latency.
 func (q *query) screen() error {
 	guard := q.engine.guard
-	if guard == nil {
+	if !q.engine.guarded(q.req) {
 		return nil
 	}
 	q.fingerprint = q.req.Fingerprint
@@ -46,7 +46,7 @@
 
 // cleared takes note of a reply: the request does not crash every target.
 func (q *query) cleared(i int) {
-	if q.engine.guard == nil {
+	if !q.engine.guarded(q.req) {
 		return
 	}
 	if !q.safe {
--- a/internal/engine/catalogue.go
+++ b/internal/engine/catalogue.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+)
 
 // Catalogue lists the services and targets of one accepted configuration.
 type Catalogue struct {
@@ -8,6 +12,10 @@
 	Targets  []CatalogueTarget
 	// Entries is the number of entries that share the targets.
 	Entries int
+	// Pools names the target groups whose repeats are bounded by Repeats for the whole
+	// fleet.
+	Pools   []string
+	Repeats retrybudget.FleetSettings
 }
 
 // CatalogueService describes a service to the load policies.
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -98,6 +98,11 @@
 	g.detector.Merge(f, g.self.Clock())
 }
 
+// guarded reports whether the crash guard concerns a request.
+func (e *Engine) guarded(req *Request) bool {
+	return e.guard != nil && req.Fingerprint != (quarantine.Fingerprint{})
+}
+
 // noteCrash logs a crash and records a request that is refused because of it.
 func (e *Engine) noteCrash(target, requestID string, refused bool) {
 	e.log.Warn().Str("target", target).Str("request_id", requestID).Bool("refused", refused).Msg("target crashed during an attempt")
--- a/internal/engine/hedging.go
+++ b/internal/engine/hedging.go
@@ -19,6 +19,9 @@
 			next = s.hedgeAt
 		}
 	}
+	if now := time.Now(); q.cutoffAt.After(now) && (next.IsZero() || q.cutoffAt.Before(next)) {
+		next = q.cutoffAt
+	}
 	if next.IsZero() {
 		q.timer.Stop()
 		return
@@ -49,7 +52,7 @@
 		if i == q.trial {
 			continue
 		}
-		decision := q.engine.policy.hedge(q.req.Service, hedge.Progress{
+		decision := q.engine.policy.hedge(q.req, s.shard, hedge.Progress{
 			Age:         now.Sub(s.started),
 			Fanout:      len(q.subs),
 			Outstanding: q.pending,
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -40,6 +40,9 @@
 	ramp     rampup.Settings
 	targets  targets.Table[targetState]
 	services atomic.Pointer[map[string]*serviceState]
+	pools    atomic.Pointer[map[string]*poolState]
+	// entries is the number of entries of the fleet.
+	entries atomic.Int64
 
 	admitMu sync.Mutex
 	// admission is guarded by admitMu.
@@ -72,6 +75,13 @@
 	admission *admission.Service
 }
 
+// poolState bounds the repeats at one target group.
+type poolState struct {
+	mu sync.Mutex
+	// repeats is guarded by mu.
+	repeats *retrybudget.FleetShare
+}
+
 func newLoaded(self Identity, leaving *leavingSet) *loaded {
 	return &loaded{
 		self:      self,
@@ -150,6 +160,7 @@
 
 func (l *loaded) setCatalogue(c *Catalogue) {
 	l.setTargets(c.Targets)
+	l.setPools(c)
 	now := l.now()
 	old := l.services.Load()
 	if old == nil {
@@ -231,7 +242,13 @@
 	var buffer [maxReplicas]replica.Candidate
 	var cells [maxReplicas]*targetCell
 	candidates := buffer[:0]
-	for i, id := range ids[:min(len(ids), maxReplicas)] {
+	// Of a large group a random part is looked at.
+	first := 0
+	if len(ids) > maxReplicas {
+		first = rand.IntN(len(ids))
+	}
+	for i := range min(len(ids), maxReplicas) {
+		id := ids[(first+i)%len(ids)]
 		cell := l.targets.Get(id)
 		candidate := replica.Candidate{
 			Target:   i,
@@ -254,7 +271,7 @@
 	if !ok {
 		return "", false
 	}
-	return ids[i], true
+	return ids[(first+i)%len(ids)], true
 }
 
 func (l *loaded) start(service, target string) attemptToken {
@@ -313,6 +330,13 @@
 }
 
 func (l *loaded) planned(req *Request, primaries int) {
+	for _, name := range req.Pools {
+		if p := l.pool(name); p != nil {
+			p.mu.Lock()
+			p.repeats.Request(l.now(), 1)
+			p.mu.Unlock()
+		}
+	}
 	if s := l.service(req.Service); s != nil {
 		s.mu.Lock()
 		s.hedges.Primary(primaries)
@@ -320,7 +344,20 @@
 	}
 }
 
-func (l *loaded) hedgeDelay(service string) (time.Duration, bool) {
+// hedgePart is the part of the time to the cutoff after which a sub-request without
+// a reply is sent to a second target. It leaves the second target the longer part.
+const hedgePart = 0.45
+
+func (l *loaded) hedgeDelay(req *Request) (time.Duration, bool) {
+	delay, ok := l.usualDelay(req.Service)
+	if at, limited := req.Contract.Cutoff.At(); limited {
+		delay = min(delay, time.Duration(hedgePart*float64(at)))
+	}
+	return delay, ok
+}
+
+// usualDelay returns the hedge delay that the recent latency of a service suggests.
+func (l *loaded) usualDelay(service string) (time.Duration, bool) {
 	s := l.service(service)
 	if s == nil {
 		return 0, false
@@ -330,8 +367,14 @@
 	return s.hedges.Delay(l.now()), true
 }
 
-func (l *loaded) hedge(service string, p hedge.Progress) hedge.Decision {
-	s := l.service(service)
+func (l *loaded) hedge(req *Request, shard int, p hedge.Progress) hedge.Decision {
+	if req.Pools != nil {
+		if l.allowRetry(req, shard) {
+			return hedge.Decision{Verdict: hedge.Send}
+		}
+		return hedge.Decision{Verdict: hedge.Exhausted, Wait: p.Age}
+	}
+	s := l.service(req.Service)
 	if s == nil {
 		return hedge.Decision{Verdict: hedge.Off}
 	}
@@ -340,8 +383,17 @@
 	return s.hedges.Decide(l.now(), p)
 }
 
-func (l *loaded) allowRetry(service string) bool {
-	s := l.service(service)
+func (l *loaded) allowRetry(req *Request, shard int) bool {
+	if req.Pools != nil {
+		p := l.pool(req.Pools[shard])
+		if p == nil {
+			return false
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.repeats.TryRepeat(l.now(), int(l.entries.Load()))
+	}
+	s := l.service(req.Service)
 	if s == nil {
 		return false
 	}
@@ -350,13 +402,42 @@
 	return s.retries.TryRetry(l.now())
 }
 
+// pool returns the state of a target group, nil for one that is not known.
+func (l *loaded) pool(name string) *poolState {
+	if m := l.pools.Load(); m != nil {
+		return (*m)[name]
+	}
+	return nil
+}
+
+// setPools keeps the repeats of groups that stay.
+func (l *loaded) setPools(c *Catalogue) {
+	old := l.pools.Load()
+	if old == nil {
+		old = &map[string]*poolState{}
+	}
+	next := make(map[string]*poolState, len(c.Pools))
+	for _, name := range c.Pools {
+		p := (*old)[name]
+		if p == nil {
+			p = &poolState{repeats: retrybudget.NewFleetShare(c.Repeats, 0)}
+		}
+		p.mu.Lock()
+		p.repeats.SetSettings(c.Repeats)
+		p.mu.Unlock()
+		next[name] = p
+	}
+	l.pools.Store(&next)
+	l.entries.Store(int64(max(c.Entries, 1)))
+}
+
 func (l *loaded) silentAfter(service string) time.Duration {
-	delay, _ := l.hedgeDelay(service)
+	delay, _ := l.usualDelay(service)
 	return max(silentFactor*delay, silentFloor)
 }
 
 func (l *loaded) expectedLatency(service string) time.Duration {
-	delay, _ := l.hedgeDelay(service)
+	delay, _ := l.usualDelay(service)
 	return latencyMargin * delay
 }
 
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -36,7 +36,8 @@
 	}
 	answered := false
 	defer func() { guarded.end(answered) }()
-	tried := guarded.avoid
+	e.policy.planned(req, 1)
+	tried, arrived := guarded.avoid, false
 	var last error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
 	for number := uint32(1); number <= maxAttempts; number++ {
 		target, ok := e.policy.pick(chosen.Shards[shard], tried)
@@ -48,6 +49,9 @@
 		if !ok {
 			break
 		}
+		if arrived && req.Pools != nil && !e.policy.allowRetry(req, shard) {
+			break
+		}
 		tried = append(tried, target)
 		reply, err := e.attemptOnce(ctx, req, Attempt{
 			Number: number, Shard: shard, Target: target, Snapshot: chosen.Snapshot, Once: true, Fresh: true,
@@ -59,6 +63,7 @@
 			return &Result{Snapshot: chosen, Answered: 1}, nil
 		}
 		last = err
+		arrived = arrived || mayHaveArrived(err)
 		if status.From(err).Outcome != status.NotRun || ctx.Err() != nil {
 			break
 		}
@@ -91,7 +96,7 @@
 // guardOnce returns an error when the request is refused because it crashed targets.
 func (e *Engine) guardOnce(req *Request) (*onceGuard, error) {
 	g := &onceGuard{engine: e, req: req}
-	if e.guard == nil {
+	if !e.guarded(req) {
 		return g, nil
 	}
 	decision, _ := e.guard.decide(req.Fingerprint)
@@ -106,7 +111,7 @@
 // attempted takes note of the end of an attempt.
 func (g *onceGuard) attempted(target string, err error) {
 	e := g.engine
-	if e.guard != nil && e.targetCrashed(target, err) {
+	if e.guarded(g.req) && e.targetCrashed(target, err) {
 		e.metrics.Crashes.Add(1)
 		refused := e.guard.crashed(g.req.Fingerprint, target, g.alone)
 		e.noteCrash(target, g.req.ID, refused)
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -30,11 +30,11 @@
 	planned(req *Request, primaries int)
 	// hedgeDelay returns the time after which an unanswered sub-request asks
 	// for a hedge, and false when hedging is off.
-	hedgeDelay(service string) (time.Duration, bool)
+	hedgeDelay(req *Request) (time.Duration, bool)
 	// hedge answers for a sub-request that waited for its delay.
-	hedge(service string, p hedge.Progress) hedge.Decision
-	// allowRetry takes one from the retry budget of the service.
-	allowRetry(service string) bool
+	hedge(req *Request, shard int, p hedge.Progress) hedge.Decision
+	// allowRetry takes one from the retry budget of the shard.
+	allowRetry(req *Request, shard int) bool
 	// silentAfter returns the time after which a connection may count as silent.
 	silentAfter(service string) time.Duration
 	// expectedLatency estimates the latency of a query of the service.
@@ -97,14 +97,14 @@
 	return allowed[rand.IntN(len(allowed))], true
 }
 
-func (*baseline) start(string, string) attemptToken       { return attemptToken{} }
-func (*baseline) finish(attemptToken, replica.Class)      {}
-func (*baseline) planned(*Request, int)                   {}
-func (*baseline) hedgeDelay(string) (time.Duration, bool) { return 0, false }
-func (*baseline) hedge(string, hedge.Progress) hedge.Decision {
+func (*baseline) start(string, string) attemptToken         { return attemptToken{} }
+func (*baseline) finish(attemptToken, replica.Class)        {}
+func (*baseline) planned(*Request, int)                     {}
+func (*baseline) hedgeDelay(*Request) (time.Duration, bool) { return 0, false }
+func (*baseline) hedge(*Request, int, hedge.Progress) hedge.Decision {
 	return hedge.Decision{Verdict: hedge.Off}
 }
-func (*baseline) allowRetry(string) bool                    { return true }
+func (*baseline) allowRetry(*Request, int) bool             { return true }
 func (*baseline) silentAfter(string) time.Duration          { return 0 }
 func (*baseline) expectedLatency(string) time.Duration      { return 0 }
 func (*baseline) repliedWithin(string, time.Duration) bool  { return false }
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -52,8 +52,10 @@
 	// round counts the plans of this query; results of an earlier plan are dropped.
 	round   int
 	pending int
-	// accepted counts the merged replies.
-	accepted int
+	// accepted counts the merged replies, missed the shards that were given up.
+	accepted, missed int
+	// cutoffAt is the time from which a partial answer may leave, zero for never.
+	cutoffAt time.Time
 	attempts uint32
 	// excluded holds the snapshots that a target no longer serves.
 	excluded []ids.Snapshot
@@ -86,6 +88,9 @@
 	// attempts counts the attempts, and outstanding those without a result.
 	attempts    int
 	outstanding int
+	// arrived counts the attempts that may have reached a target, and ran those that
+	// may have run there.
+	arrived, ran int
 	// fresh is set when the next attempt needs a new connection.
 	fresh    bool
 	launched bool
@@ -134,17 +139,17 @@
 	if err := q.plan(ctx); err != nil {
 		return nil, err
 	}
-	for q.pending > 0 && q.aborted == nil {
+	for q.pending > 0 && q.aborted == nil && !q.sufficient() {
 		select {
 		case r := <-q.results:
 			q.handle(ctx, r)
 		case now := <-q.timer.C:
 			q.due(now)
 		case <-ctx.Done():
-			return q.finish()
+			return q.finish(0)
 		}
 	}
-	return q.finish()
+	return q.finish(q.req.Contract.Linger)
 }
 
 // plan chooses the snapshot and sends the first attempt of every shard.
@@ -163,16 +168,23 @@
 	q.round++
 	q.snapshot = chosen
 	q.req.Work.Start(chosen)
-	q.accepted = 0
+	q.accepted, q.missed = 0, 0
 	q.subs = make([]subRequest, len(chosen.Shards))
 	q.pending = len(q.subs)
 	// The channel holds every result, so that no attempt blocks after the query ended.
 	q.results = make(chan attemptResult, len(q.subs)*(maxAttempts+1))
+	if at, ok := q.req.Contract.Cutoff.At(); ok {
+		q.cutoffAt = q.req.Arrival.Add(at)
+	}
 	e.policy.planned(q.req, len(q.subs))
 	for i := range q.subs {
 		s := &q.subs[i]
 		s.shard = i
-		s.ctx, s.cancel = context.WithCancel(ctx)
+		base := ctx
+		if q.req.Contract.Linger > 0 {
+			base = context.WithoutCancel(ctx) // Attempts may outlive the answer.
+		}
+		s.ctx, s.cancel = context.WithDeadline(base, q.req.Deadline)
 	}
 	if q.canary == none {
 		q.launchRest()
@@ -233,6 +245,11 @@
 	s := &q.subs[i]
 	q.note(s, reason)
 	q.resolve(s)
+	q.missed++
+	if c := &q.req.Contract; c.Complete && q.aborted == nil && !c.Cutoff.Meets(len(q.subs)-q.missed, len(q.subs)) {
+		// The other shards cannot make an answer any more.
+		q.aborted = q.failure(q.pending > 0)
+	}
 }
 
 // note records why a sub-request has no reply so far.
@@ -254,23 +271,41 @@
 
 func (q *query) resolve(s *subRequest) {
 	s.resolved = true
-	s.cancel()
+	s.end(q.req.Contract.Linger)
 	q.pending--
 }
 
-// finish cancels what is outstanding and returns the answer.
-func (q *query) finish() (*Result, error) {
+// end cancels the outstanding attempts after the given time.
+func (s *subRequest) end(linger time.Duration) {
+	if linger > 0 && s.outstanding > 0 {
+		time.AfterFunc(linger, s.cancel)
+		return
+	}
+	s.cancel()
+}
+
+// sufficient reports whether the answer leaves without the missing shards.
+func (q *query) sufficient() bool {
+	return q.req.Contract.Cutoff.Sufficient(time.Since(q.req.Arrival), q.accepted, len(q.subs))
+}
+
+// finish ends what is outstanding and returns the answer. Attempts may go on for
+// the given time.
+func (q *query) finish(linger time.Duration) (*Result, error) {
 	unfinished := false
 	for i := range q.subs {
-		if !q.subs[i].resolved {
+		s := &q.subs[i]
+		if !s.resolved {
 			unfinished = true
+			s.end(linger)
+		} else if linger == 0 {
+			s.cancel()
 		}
-		q.subs[i].cancel()
 	}
 	if q.aborted != nil {
 		return nil, q.aborted
 	}
-	if q.accepted == 0 {
+	if q.accepted == 0 || q.req.Contract.Complete && !q.req.Contract.Cutoff.Meets(q.accepted, len(q.subs)) {
 		return nil, q.failure(unfinished)
 	}
 	return &Result{Snapshot: q.snapshot, Answered: q.accepted}, nil
@@ -284,12 +319,12 @@
 		outcome = status.Unknown
 	}
 	code := status.Unavailable
-	if unfinished {
+	if unfinished && !time.Now().Before(q.req.Deadline.Add(-answerMargin)) {
 		code = status.DeadlineExceeded
 	} else if q.lastError != nil {
 		code = status.CodeOf(q.lastError)
 	}
-	return status.Wrap(q.lastError, code, outcome, "no shard could be searched").WithRetryAfter(DefaultRetryAfter)
+	return status.Wrap(q.lastError, code, outcome, "%d of %d shards could be searched", q.accepted, len(q.subs)).WithRetryAfter(DefaultRetryAfter)
 }
 
 func reasonOf(code status.Code) callerapi.Reason {
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/coverage"
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -22,7 +23,8 @@
 	Arrival time.Time
 	// Deadline is the time by which the final answer must leave.
 	Deadline time.Time
-	// Fingerprint identifies equal requests. Engine.Fingerprint returns it.
+	// Fingerprint identifies equal requests. Engine.Fingerprint returns it. Zero keeps
+	// the request out of the crash guard.
 	Fingerprint quarantine.Fingerprint
 	// SelectShard returns the only shard that a request under RunOnce concerns, of
 	// the given number. Nil selects the first.
@@ -30,6 +32,8 @@
 	// Pools names the target group of each shard, whose repeats are bounded for the
 	// whole fleet. Nil charges repeats to the budgets of the service.
 	Pools []string
+	// Unlimited keeps the request out of admission control.
+	Unlimited bool
 	// Work is what the way in does with attempts and replies.
 	Work Work
 }
@@ -39,12 +43,10 @@
 	// Latency is the contracted latency. Admission gives a request that waits
 	// longer the lowest rank.
 	Latency time.Duration
-	// Goal is the time from arrival by which an answer earns its full value. The
-	// engine then stops waiting for the rest of the shards. Zero waits for every
-	// shard until the deadline.
-	Goal time.Duration
-	// MinRatio is the least part of the shards that makes an answer.
-	MinRatio float64
+	// Cutoff says when an answer leaves without the missing shards.
+	Cutoff coverage.Cutoff
+	// Complete is set when an answer below the least ratio of Cutoff is a failure.
+	Complete bool
 	// MaxRuns is the number of targets that may run one sub-request. Zero selects
 	// 4.
 	MaxRuns int
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -77,22 +77,15 @@
 		Verify:    func() { d.syncer.Refresh(context.Background()) },
 		Audit:     d.audit,
 	})
-	d.facts = newFacts(d.engine)
+	d.facts = newFacts(d.self, d.engine.core)
 	d.wireSync()
 	return d, d.wireServers()
 }
 
 func (d *Daemon) wireServers() error {
-	listeners := make([]net.Listener, 0, 3)
-	for _, address := range []string{d.settings.CallerAddress, d.settings.AdminAddress, d.settings.PeerAddress} {
-		lis, err := net.Listen("tcp", address)
-		if err != nil {
-			for _, l := range listeners {
-				l.Close()
-			}
-			return status.Wrap(err, status.Unavailable, "", "listening on %s", address)
-		}
-		listeners = append(listeners, lis)
+	listeners, err := listenAll([]string{d.settings.CallerAddress, d.settings.AdminAddress, d.settings.PeerAddress})
+	if err != nil {
+		return err
 	}
 	caller := callerhttp.NewServer(listeners[0], d.engine, callerhttp.Options{
 		MaxBodyBytes:   d.settings.MaxBodyBytes,
@@ -113,6 +106,22 @@
 	return nil
 }
 
+// listenAll opens a listener on each address, or none.
+func listenAll(addresses []string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		lis, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, l := range listeners {
+				l.Close()
+			}
+			return nil, status.Wrap(err, status.Unavailable, "", "listening on %s", address)
+		}
+		listeners = append(listeners, lis)
+	}
+	return listeners, nil
+}
+
 // Run serves until SIGTERM, SIGINT or Shutdown, then stops gracefully.
 func (d *Daemon) Run() error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/facts.go
+++ b/internal/entry/facts.go
@@ -31,7 +31,8 @@
 // facts joins the engine's short-lived facts to the exchanges with peers. It
 // implements configsync.Facts.
 type facts struct {
-	engine *Engine
+	self Identity
+	core *engine.Engine
 
 	mu sync.Mutex
 	// successions holds the handovers by the incarnation that stopped. Guarded by mu.
@@ -44,15 +45,15 @@
 	expires     time.Duration
 }
 
-func newFacts(e *Engine) *facts {
-	return &facts{engine: e, successions: make(map[ids.Incarnation]succession)}
+func newFacts(self Identity, core *engine.Engine) *facts {
+	return &facts{self: self, core: core, successions: make(map[ids.Incarnation]succession)}
 }
 
 // Collect implements configsync.Facts.
 func (f *facts) Collect() configsync.FactSet {
 	var set configsync.FactSet
-	now := f.engine.self.Clock()
-	known := f.engine.core.CrashFacts(maxFacts)
+	now := f.self.Clock()
+	known := f.core.CrashFacts(maxFacts)
 	for _, r := range known.Refusals {
 		set.Quarantines = append(set.Quarantines, &peerpb.Quarantine{Fingerprint: r.Fingerprint[:], RemainingMs: r.Remaining.Milliseconds()})
 	}
@@ -67,7 +68,7 @@
 // leaving returns the leaving targets, those with the latest evidence first: it
 // has the latest end.
 func (f *facts) leaving() []*peerpb.Leaving {
-	remaining := f.engine.core.LeavingTargets()
+	remaining := f.core.LeavingTargets()
 	targets := slices.SortedFunc(maps.Keys(remaining), func(a, b string) int {
 		return cmp.Or(cmp.Compare(remaining[b], remaining[a]), cmp.Compare(a, b))
 	})
@@ -101,7 +102,7 @@
 	for _, l := range set.Leaving {
 		left := time.Duration(l.RemainingMs)*time.Millisecond - leavingTravel
 		if left > 0 {
-			f.engine.core.MarkLeaving(l.Target, min(left, engine.LeavingPeriod))
+			f.core.MarkLeaving(l.Target, min(left, engine.LeavingPeriod))
 		}
 	}
 	for _, s := range set.Successions {
@@ -123,7 +124,7 @@
 			known.Crashes = append(known.Crashes, quarantine.CrashFact{Fingerprint: fp, Target: c.Target, Remaining: time.Duration(c.RemainingMs) * time.Millisecond})
 		}
 	}
-	f.engine.core.MergeCrashFacts(known)
+	f.core.MergeCrashFacts(known)
 }
 
 // addSuccession records that an incarnation stopped and handed its journal over.
@@ -134,7 +135,7 @@
 	if _, ok := f.successions[stopped]; ok || len(f.successions) >= maxSuccessions {
 		return
 	}
-	f.successions[stopped] = succession{entry: entry, incarnation: incarnation, expires: f.engine.self.Clock() + maxSuccessionAge}
+	f.successions[stopped] = succession{entry: entry, incarnation: incarnation, expires: f.self.Clock() + maxSuccessionAge}
 }
 
 // maxSuccessionChain bounds the planned stops that successor follows.
@@ -145,7 +146,7 @@
 func (f *facts) successor(stopped ids.Incarnation) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.engine.self.Clock()
+	now := f.self.Clock()
 	entry, known := "", false
 	for range maxSuccessionChain {
 		s, ok := f.successions[stopped]
--- a/internal/entry/facts_test.go
+++ b/internal/entry/facts_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	f := newFakeFleet(t, 1, 1)
 	e := f.engine(0)
-	facts := newFacts(e)
+	facts := newFacts(e.self, e.core)
 	const count = 200
 	var targets []string
 	for n := range count {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,6 +35,8 @@
 	// SheetRevision and IndexRevision are those in force, 0 until both documents
 	// are known.
 	SheetRevision, IndexRevision expvar.Int
+	// TargetsRevision is that of the target list of relayed services.
+	TargetsRevision expvar.Int
 }
 
 // NewMetrics returns metrics with zero counts.
@@ -62,6 +64,7 @@
 	vars.Set("platform_failures_total", &m.PlatformFailures)
 	vars.Set("sheet_revision", &m.SheetRevision)
 	vars.Set("index_revision", &m.IndexRevision)
+	vars.Set("targets_revision", &m.TargetsRevision)
 	vars.Set("violations_total", &m.Violations)
 }
 
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -150,7 +150,7 @@
 	used := f.permit(0, testKeyAsan, "fetch d1")
 	unused := f.permit(0, testKeyAsan, "fetch d2")
 	is.Equal(f.search(0, testKeyAsan, once("fetch d1", used)).status, http.StatusOK)
-	chain := newFacts(f.engine(2))
+	chain := newFacts(f.engine(2).self, f.engine(2).core)
 	for stops := range 2 {
 		old, next := f.engine(stops), f.engine(stops+1)
 		is.NoErr(old.Stop(context.Background()))
--- /dev/null
+++ b/internal/entry/relaydaemon.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/internal/engine"
+	"github.com/balsamstall/balsamstall/internal/relay"
+	"github.com/balsamstall/balsamstall/internal/settings"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
+	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/transport/adminhttp"
+	"github.com/balsamstall/balsamstall/transport/peerrpc"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+const (
+	// seedPrefix begins the id of an entry that is known by its address only.
+	seedPrefix = "seed@"
+	// unknownFleet is the number of entries that is assumed while none is known. It
+	// exceeds the fleets of today.
+	unknownFleet = 100
+	// relayWatchWait is how long a watch of the store waits. Each call has a price.
+	relayWatchWait = 20 * time.Second
+	// relayPollInterval is the interval at which entries read the store that do not
+	// watch it. They learn from their peers.
+	relayPollInterval = 10 * time.Minute
+	// relayMaxBackoff bounds the pause after failed calls, so that an entry knows the
+	// present state within the 3 s after an outage in which it must be in force.
+	relayMaxBackoff = time.Second
+	// relayReadGap lets changes in quick succession take one call.
+	relayReadGap = 150 * time.Millisecond
+	// balancerNotice is the time from a stop signal until the balancer sends no new
+	// connections: two checks of one second, and one more on their way.
+	balancerNotice = 2500 * time.Millisecond
+	// stopReserve is kept before the kill for the last answers and the exit.
+	stopReserve = 700 * time.Millisecond
+	// stopPoll is the interval at which a stopping entry looks for running requests.
+	stopPoll = 20 * time.Millisecond
+)
+
+// RelayPorts connects a relay to its surroundings.
+type RelayPorts struct {
+	// Documents is where the sheet and the target list are read.
+	Documents configsync.Platform
+	// Targets returns the client of the targets.
+	Targets func(targethttp.Metrics) relay.Targets
+	// Servers returns the servers of callers and of readiness checks.
+	Servers func(callers, ready net.Listener, r *relay.Relay) []transport.Server
+}
+
+// RelayDaemon is one entry process that relays requests. It keeps no permits and no
+// journal: a request that may run once at most is one attempt chain.
+type RelayDaemon struct {
+	settings *settings.Relay
+	self     Identity
+	log      zerolog.Logger
+	metrics  *Metrics
+	audit    *audit.Trail
+	core     *engine.Engine
+	relay    *relay.Relay
+	pool     *peerrpc.Pool
+	syncer   *configsync.Syncer
+	app      *kratos.App
+	// stopOnce keeps a second stop signal from stopping again.
+	stopOnce sync.Once
+}
+
+// NewRelayDaemon opens the listeners and wires the parts of an entry that relays.
+func NewRelayDaemon(set *settings.Relay, log zerolog.Logger, ports RelayPorts) (*RelayDaemon, error) {
+	d := &RelayDaemon{
+		settings: set,
+		self:     Identity{Entry: set.ID, Zone: set.Zone, Incarnation: ids.NewIncarnation(), Start: time.Now()},
+		log:      log.With().Str("entry", set.ID).Logger(),
+		metrics:  NewMetrics(),
+	}
+	d.audit = audit.New(d.log)
+	d.pool = peerrpc.NewPool([]byte(set.PeerKey), peerrpc.Options{})
+	targets := ports.Targets(d.metrics)
+	d.core = engine.New(engine.Config{
+		Self:     d.self,
+		Log:      d.log,
+		Targets:  targets,
+		GuardKey: []byte(set.PeerKey),
+		PolicyOn: true,
+		Metrics:  &d.metrics.Metrics,
+		Spread:   func() { d.syncer.Spread() },
+		Verify:   func() { d.syncer.Refresh(context.Background()) },
+		Audit:    d.audit,
+	})
+	d.relay = relay.New(relay.Config{
+		Core:    d.core,
+		Targets: targets,
+		Log:     d.log,
+		Repeats: retrybudget.FleetSettings{
+			Ratio:   set.RepeatRatio,
+			Minimum: set.RepeatMinimum,
+			Window:  seconds(set.RepeatWindowS),
+		},
+	})
+	d.relay.SetEntries(unknownFleet)
+	d.wireSync(ports.Documents)
+	return d, d.wireServers(ports)
+}
+
+func (d *RelayDaemon) wireSync(documents configsync.Platform) {
+	set := d.settings
+	d.syncer = configsync.New(configsync.Config{
+		Keys:             []string{platformapi.SheetKey, platformapi.TargetsKey},
+		Entry:            set.ID,
+		Zone:             set.Zone,
+		Address:          set.PeerAddress,
+		Incarnation:      d.self.Incarnation,
+		Peers:            d.seeds(set.Seeds),
+		WatchersPerZone:  int(set.WatchersPerZone),
+		ExchangeInterval: time.Duration(set.ExchangeIntervalMS) * time.Millisecond,
+		PollInterval:     relayPollInterval,
+		HostInterval:     relayPollInterval,
+		WatchWait:        relayWatchWait,
+		MaxBackoff:       relayMaxBackoff,
+		ReadGap:          relayReadGap,
+	}, configsync.Deps{
+		Platform:      documents,
+		Peers:         d.pool,
+		Facts:         newFacts(d.self, d.core),
+		Audit:         d.audit,
+		Log:           d.log,
+		ParseSheet:    sheet.Parse,
+		ParseTargets:  targetlist.Parse,
+		CheckSheet:    checkSheet,
+		CheckTargets:  (*targetlist.Document).Err,
+		OnReadFailure: func(key string) { d.metrics.PlatformFailures.Add(key, 1) },
+		OnChange:      d.onChange,
+	})
+}
+
+// seeds lists the addresses of the settings as peers without a known id.
+func (d *RelayDaemon) seeds(addresses []string) []configsync.Peer {
+	var peers []configsync.Peer
+	for _, a := range addresses {
+		if a != d.settings.PeerAddress {
+			peers = append(peers, configsync.Peer{Entry: seedPrefix + a, Address: a})
+		}
+	}
+	return peers
+}
+
+// onChange puts new documents in force once both are known.
+func (d *RelayDaemon) onChange(v *configsync.View) {
+	if v.Sheet == nil || v.Targets == nil {
+		return
+	}
+	d.relay.SetDocuments(v.Sheet, v.Targets)
+	d.metrics.SheetRevision.Set(int64(v.Sheet.Revision))
+	d.metrics.TargetsRevision.Set(int64(v.Targets.Revision))
+}
+
+func (d *RelayDaemon) wireServers(ports RelayPorts) error {
+	addresses := []string{d.settings.CallerAddress, d.settings.ReadyAddress, d.settings.PeerAddress}
+	if d.settings.MetricsAddress != "" {
+		addresses = append(addresses, d.settings.MetricsAddress)
+	}
+	listeners, err := listenAll(addresses)
+	if err != nil {
+		return err
+	}
+	servers := ports.Servers(listeners[0], listeners[1], d.relay)
+	servers = append(servers, &peerServer{
+		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &relayPeerHandler{syncer: d.syncer}, d.log),
+		listener: listeners[2],
+	})
+	if len(listeners) > 3 {
+		servers = append(servers, adminhttp.NewMetricsServer(listeners[3]))
+	}
+	d.app = kratos.New(
+		kratos.Name("balsam-entry"),
+		kratos.Server(servers...),
+		kratos.Logger(kratosLogger{d.log}),
+		kratos.StopTimeout(stopReserve),
+		kratos.BeforeStop(func(context.Context) error { d.stopOnce.Do(d.stop); return nil }),
+	)
+	return nil
+}
+
+// Run serves until SIGTERM or SIGINT, then stops gracefully.
+func (d *RelayDaemon) Run() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { d.syncer.Run(ctx) })
+	running.Go(func() { d.core.WatchPauses(ctx) })
+	running.Go(func() { d.maintain(ctx) })
+	d.metrics.Publish()
+	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
+	err := d.app.Run()
+	cancel()
+	running.Wait()
+	d.pool.Close()
+	d.log.Info().Msg("entry stopped")
+	if err != nil {
+		return status.Wrap(err, status.Internal, "", "serving")
+	}
+	return nil
+}
+
+// maintain does periodic work until ctx ends.
+func (d *RelayDaemon) maintain(ctx context.Context) {
+	tick := time.NewTicker(maintenanceInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.core.Expire()
+			d.relay.SetEntries(d.entryCount())
+		}
+	}
+}
+
+// entryCount counts this entry and every peer that was ever heard: one that is cut
+// off from this entry still uses its share of connections and repeats.
+func (d *RelayDaemon) entryCount() int {
+	n := 1
+	for _, m := range d.syncer.Members() {
+		if m.Incarnation != (ids.Incarnation{}) {
+			n++
+		}
+	}
+	if n == 1 && len(d.settings.Seeds) > 1 {
+		return unknownFleet
+	}
+	return n
+}
+
+// stop is the planned stop: not ready at once, requests on open connections are
+// served until the balancer has noticed and none is running any more.
+func (d *RelayDaemon) stop() {
+	began := time.Now()
+	end := began.Add(seconds(d.settings.GraceS) - 2*stopReserve)
+	d.relay.BeginStop()
+	d.syncer.SetDraining()
+	d.audit.Record(began, audit.DrainStarted, d.self.Entry, "not ready; requests are served until the balancer has noticed")
+	time.Sleep(min(balancerNotice, time.Until(end)))
+	for d.relay.Running() > 0 && time.Now().Before(end) {
+		time.Sleep(stopPoll)
+	}
+	d.relay.Abort()
+	d.audit.Record(time.Now(), audit.Stopped, d.self.Entry, "closing connections")
+}
+
+// seconds returns a duration of the given number of seconds.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// relayPeerHandler serves the calls of other entries. Relays forward nothing.
+type relayPeerHandler struct {
+	peerpb.DRPCPeerUnimplementedServer
+	syncer *configsync.Syncer
+}
+
+func (h *relayPeerHandler) Exchange(ctx context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return h.syncer.HandleExchange(ctx, in)
+}
+
+func (h *relayPeerHandler) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return h.syncer.HandleFetch(ctx, in)
+}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -40,7 +40,6 @@
 		Service: svc.Name,
 		Contract: engine.Contract{
 			Latency:    time.Duration(svc.Latency.ContractMS) * time.Millisecond,
-			MinRatio:   svc.Coverage.MinRatio,
 			MaxFanout:  svc.Limits.MaxFanout,
 			CanaryWait: time.Duration(svc.Canary.MaxWaitMS) * time.Millisecond,
 		},
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"math"
+	"sort"
+	"strings"
+	"sync/atomic"
+
+	"github.com/balsamstall/balsamstall/internal/engine"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
+)
+
+// plan is one pair of sheet and target list with the lookups that requests need.
+// It is immutable; a request holds one plan from start to end.
+type plan struct {
+	sheet   *sheet.Sheet
+	targets *targetlist.Document
+	// routes holds the services of each host, the longest prefix first.
+	routes map[string][]*route
+	// groups holds the targets that may get new work.
+	groups map[string][]string
+}
+
+// route is one relayed service of a plan.
+type route struct {
+	service *sheet.Service
+	relay   *sheet.Relay
+	// layout lists the targets of each shard. Nil for a split.
+	layout *index.Snapshot
+	// parts lists the layout of each part of a split.
+	parts []*index.Snapshot
+	// draws counts the choices among the parts.
+	draws *atomic.Uint64
+}
+
+// newPlan indexes the documents. draws keeps the counters of splits over plans.
+func newPlan(s *sheet.Sheet, t *targetlist.Document, draws map[string]*atomic.Uint64) *plan {
+	p := &plan{
+		sheet:   s,
+		targets: t,
+		routes:  make(map[string][]*route),
+		groups:  make(map[string][]string, len(s.Groups)),
+	}
+	for i := range t.Targets {
+		if target := &t.Targets[i]; !target.Leaving {
+			p.groups[target.Group] = append(p.groups[target.Group], target.ID)
+		}
+	}
+	for i := range s.Services {
+		if s.Services[i].Relay != nil {
+			p.addRoute(&s.Services[i], draws)
+		}
+	}
+	for _, routes := range p.routes {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].relay.PathPrefix) > len(routes[j].relay.PathPrefix)
+		})
+	}
+	return p
+}
+
+func (p *plan) addRoute(svc *sheet.Service, draws map[string]*atomic.Uint64) {
+	r := &route{service: svc, relay: svc.Relay}
+	if len(r.relay.Shards) > 0 {
+		r.layout = p.snapshot(r.relay.Shards...)
+	} else {
+		for _, part := range r.relay.Split {
+			r.parts = append(r.parts, p.snapshot(part.Group))
+		}
+		if draws[svc.Name] == nil {
+			draws[svc.Name] = new(atomic.Uint64)
+		}
+		r.draws = draws[svc.Name]
+	}
+	host := strings.ToLower(r.relay.Host)
+	p.routes[host] = append(p.routes[host], r)
+}
+
+// snapshot lists the targets of groups as the shards of this version of the sheet.
+func (p *plan) snapshot(groups ...string) *index.Snapshot {
+	snap := &index.Snapshot{Snapshot: ids.Snapshot{IndexVersion: p.sheet.Revision, ShardMapEpoch: 1}}
+	for _, g := range groups {
+		snap.Shards = append(snap.Shards, p.groups[g])
+	}
+	return snap
+}
+
+// find returns the route of a request: the longest prefix of its host that begins
+// the path.
+func (p *plan) find(host, path string) *route {
+	for _, r := range p.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.relay.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// goldenRatio spreads successive choices evenly over the parts of a split, so that
+// each gets its part of a few hundred requests already.
+const goldenRatio = 0.6180339887498949
+
+// choosePart returns the number of the part of a split that serves the next request.
+func (r *route) choosePart() int {
+	sum := 0.0
+	for _, p := range r.relay.Split {
+		sum += p.Weight
+	}
+	_, at := math.Modf(float64(r.draws.Add(1)) * goldenRatio)
+	at *= sum
+	for i, p := range r.relay.Split {
+		if at < p.Weight {
+			return i
+		}
+		at -= p.Weight
+	}
+	return len(r.relay.Split) - 1
+}
+
+// catalogue describes the plan to the engine.
+func (p *plan) catalogue() *engine.Catalogue {
+	c := &engine.Catalogue{}
+	for i := range p.sheet.Services {
+		svc := &p.sheet.Services[i]
+		if svc.Relay == nil {
+			continue
+		}
+		c.Services = append(c.Services, engine.CatalogueService{
+			Name:           svc.Name,
+			Priority:       svc.Priority,
+			MaxConcurrency: svc.Limits.MaxConcurrency,
+			MaxQueue:       svc.Limits.MaxQueue,
+			Shards:         max(len(svc.Relay.Shards), 1),
+		})
+	}
+	for i := range p.sheet.Groups {
+		c.Pools = append(c.Pools, p.sheet.Groups[i].Name)
+	}
+	for i := range p.targets.Targets {
+		t := &p.targets.Targets[i]
+		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Zone: t.Zone, Slots: t.Slots})
+	}
+	return c
+}
+
+// connectionTargets lists the targets with the caps on their connections.
+func (p *plan) connectionTargets() []sheet.Target {
+	caps := make(map[string]int, len(p.sheet.Groups))
+	for i := range p.sheet.Groups {
+		caps[p.sheet.Groups[i].Name] = p.sheet.Groups[i].MaxConnections
+	}
+	list := make([]sheet.Target, 0, len(p.targets.Targets))
+	for i := range p.targets.Targets {
+		t := &p.targets.Targets[i]
+		if most := caps[t.Group]; most > 0 {
+			list = append(list, sheet.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, Slots: t.Slots, MaxConnections: most})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,243 @@
+// Package relay passes requests on to targets as they are. A service with shards
+// gets the merged records of its shards; any other gets one target's reply
+// unchanged.
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/coordination/connshare"
+	"github.com/balsamstall/balsamstall/coordination/coverage"
+	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/internal/engine"
+	"github.com/balsamstall/balsamstall/protocol/relayapi"
+	"github.com/balsamstall/balsamstall/protocol/sheet"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
+	"github.com/balsamstall/balsamstall/state/inflight"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+const (
+	// reservePart and minReserve are kept before the latency goal for the way to the
+	// caller and for merging: 12% of the goal, at least 8 ms. Callers are up to 3 ms
+	// away one way and may open a connection first.
+	reservePart = 0.12
+	minReserve  = 8 * time.Millisecond
+	// linger lets the slower of two attempts finish, which keeps its connection. It
+	// covers the 150 ms for which targets pause, and stays within the half second in
+	// which work for a caller that left must end.
+	linger = 250 * time.Millisecond
+	// callerMargin is taken off the time that a caller waits, for the answer's way.
+	callerMargin = 10 * time.Millisecond
+)
+
+// Targets sends attempts. platform/backend implements it.
+type Targets interface {
+	engine.Connections
+	// Send sends one attempt with the time that is left for it. Every error is a
+	// *status.Error whose outcome is NotRun only with proof.
+	Send(ctx context.Context, target string, req *relayapi.Request, left time.Duration, opt targethttp.Options) (*relayapi.Reply, error)
+	Configure(targets []sheet.Target, share func(sheet.Target) int)
+}
+
+// Config holds the parts of a relay.
+type Config struct {
+	Core    *engine.Engine
+	Targets Targets
+	Log     zerolog.Logger
+	// Repeats bounds the repeats at one target group for the whole fleet.
+	Repeats retrybudget.FleetSettings
+}
+
+// Relay serves relayed requests. All methods are safe for concurrent use.
+type Relay struct {
+	cfg      Config
+	plan     atomic.Pointer[plan]
+	sequence atomic.Uint64
+	inflight inflight.Table
+	stopping atomic.Bool
+	// aborted ends when the entry stops and running requests get their final answer.
+	aborted context.Context
+	abort   context.CancelFunc
+
+	mu sync.Mutex
+	// entries is the number of entries that share the targets. Guarded by mu.
+	entries int
+	// draws counts the choices among the parts of each split. Guarded by mu.
+	draws map[string]*atomic.Uint64
+}
+
+// New returns a relay that refuses requests until SetDocuments was called.
+func New(cfg Config) *Relay {
+	r := &Relay{cfg: cfg, entries: 1, draws: make(map[string]*atomic.Uint64)}
+	r.aborted, r.abort = context.WithCancel(context.Background())
+	return r
+}
+
+// SetDocuments puts a sheet and a target list in force for new requests.
+func (r *Relay) SetDocuments(s *sheet.Sheet, t *targetlist.Document) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := newPlan(s, t, r.draws)
+	r.publish(p)
+	r.plan.Store(p)
+}
+
+// SetEntries tells how many entries share the connections to the targets.
+func (r *Relay) SetEntries(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.entries == n {
+		return
+	}
+	r.entries = n
+	if p := r.plan.Load(); p != nil {
+		r.publish(p)
+	}
+}
+
+// publish tells the engine and the connections about a plan. mu must be held.
+func (r *Relay) publish(p *plan) {
+	c := p.catalogue()
+	c.Entries, c.Repeats = r.entries, r.cfg.Repeats
+	r.cfg.Core.SetCatalogue(c)
+	entries := r.entries
+	r.cfg.Targets.Configure(p.connectionTargets(), func(t sheet.Target) int { return connshare.Share(t.MaxConnections, entries) })
+}
+
+// Ready reports whether documents are in force and the relay is not stopping.
+func (r *Relay) Ready() bool { return r.plan.Load() != nil && !r.stopping.Load() }
+
+// Limits returns the limits of callers in force, zero values before any are known.
+func (r *Relay) Limits() sheet.CallerLimits {
+	if p := r.plan.Load(); p != nil {
+		return p.sheet.CallerLimits
+	}
+	return sheet.CallerLimits{}
+}
+
+// BeginStop makes the relay not ready and its answers ask callers to reconnect
+// elsewhere. Requests are still served.
+func (r *Relay) BeginStop() { r.stopping.Store(true) }
+
+// Abort gives up the running requests.
+func (r *Relay) Abort() { r.abort() }
+
+// Running returns the number of requests that are being served.
+func (r *Relay) Running() int { return r.inflight.Running() }
+
+// Serve runs one request and always returns an answer.
+func (r *Relay) Serve(ctx context.Context, req *relayapi.Request) *relayapi.Answer {
+	sequence := r.sequence.Add(1)
+	// Begin fails only after Close, which a relay never calls: it serves until the
+	// process ends.
+	r.inflight.Begin(sequence)
+	defer r.inflight.End(sequence)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.aborted, cancel)()
+	answer := r.serve(ctx, req)
+	answer.Close = r.stopping.Load()
+	return answer
+}
+
+func (r *Relay) serve(ctx context.Context, req *relayapi.Request) *relayapi.Answer {
+	r.cfg.Core.AwaitVerified(ctx)
+	p := r.plan.Load()
+	if p == nil {
+		return refusal(status.New(status.NotReady, status.NotRun, "no sheet and target list are in force yet").WithRetryAfter(engine.DefaultRetryAfter))
+	}
+	route := p.find(req.Host, req.Path)
+	if route == nil {
+		return refusal(status.New(status.NotFound, status.NotRun, "no service of host %.80q has a prefix of the path", req.Host))
+	}
+	core := coreRequest(req, route)
+	if !time.Now().Before(core.Deadline) {
+		return refusal(status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed").WithRetryAfter(engine.DefaultRetryAfter))
+	}
+	ctx, cancel := context.WithDeadline(ctx, core.Deadline)
+	defer cancel()
+	if route.layout != nil {
+		return r.gather(ctx, req, route, core)
+	}
+	return r.pass(ctx, req, route, core)
+}
+
+// coreRequest describes a request to the engine.
+func coreRequest(req *relayapi.Request, route *route) *engine.Request {
+	svc := route.service
+	wait := time.Duration(svc.Latency.MaxDeadlineMS) * time.Millisecond
+	if req.Wait > 0 {
+		wait = min(wait, max(req.Wait-callerMargin, 0))
+	}
+	goal := time.Duration(svc.Latency.ContractMS) * time.Millisecond
+	return &engine.Request{
+		ID:      req.ID,
+		Service: svc.Name,
+		Contract: engine.Contract{
+			Latency: goal,
+			Cutoff: coverage.Cutoff{
+				Goal:     goal,
+				Reserve:  max(time.Duration(reservePart*float64(goal)), minReserve),
+				MinRatio: svc.Coverage.MinRatio,
+			},
+			Complete:  true,
+			MaxRuns:   route.relay.Attempts,
+			MaxFanout: svc.Limits.MaxFanout,
+			Linger:    linger,
+		},
+		Arrival:   req.Arrival,
+		Deadline:  req.Arrival.Add(wait),
+		Unlimited: true,
+	}
+}
+
+// gather answers with the merged records of the shards.
+func (r *Relay) gather(ctx context.Context, req *relayapi.Request, route *route, core *engine.Request) *relayapi.Answer {
+	w := &gatherWork{work: work{relay: r, req: req, layout: route.layout, deadline: core.Deadline}, top: route.relay.TopRecords}
+	core.Work, core.Pools = w, route.relay.Shards
+	if _, err := r.cfg.Core.Run(ctx, core); err != nil {
+		return refusal(status.From(err))
+	}
+	return &relayapi.Answer{Merged: w.merged()}
+}
+
+// pass answers with the reply of one target.
+func (r *Relay) pass(ctx context.Context, req *relayapi.Request, route *route, core *engine.Request) *relayapi.Answer {
+	part := route.choosePart()
+	w := &passWork{work: work{relay: r, req: req, layout: route.parts[part], deadline: core.Deadline}}
+	core.Work, core.Pools = w, []string{route.relay.Split[part].Group}
+	run := r.cfg.Core.Run
+	if route.service.Repeat.Rule == sheet.AtMostOnce {
+		run = r.cfg.Core.RunOnce
+	}
+	_, err := run(ctx, core)
+	if err == nil {
+		return &relayapi.Answer{Reply: w.reply}
+	}
+	var failed *relayapi.Failure
+	if errors.As(err, &failed) && passable(failed.Reply.Status) {
+		return &relayapi.Answer{Reply: failed.Reply}
+	}
+	return refusal(status.From(err))
+}
+
+// passable reports whether a target's failure may be passed on. Some statuses
+// promise that the request did not run, which the target has not said.
+func passable(code int) bool {
+	switch code {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return false
+	}
+	return true
+}
+
+func refusal(err *status.Error) *relayapi.Answer { return &relayapi.Answer{Err: err} }
--- /dev/null
+++ b/internal/relay/work.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/toprecords"
+	"github.com/balsamstall/balsamstall/internal/engine"
+	"github.com/balsamstall/balsamstall/protocol/callerapi"
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/relayapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/transport/targethttp"
+)
+
+// work is what gathered and passed requests have in common.
+type work struct {
+	relay    *Relay
+	req      *relayapi.Request
+	layout   *index.Snapshot
+	deadline time.Time
+}
+
+// Choose implements engine.Work. A request has one layout.
+func (w *work) Choose(usable func(string) bool, excluded func(ids.Snapshot) bool) (*index.Snapshot, int, bool) {
+	if excluded != nil && excluded(w.layout.Snapshot) {
+		return nil, 0, false
+	}
+	return w.layout, len(w.layout.Shards), true
+}
+
+// Miss implements engine.Work.
+func (w *work) Miss(int, callerapi.Reason) {}
+
+// send sends one attempt and turns replies that are no success into errors.
+func (w *work) send(ctx context.Context, a engine.Attempt) (*relayapi.Reply, error) {
+	reply, err := w.relay.cfg.Targets.Send(ctx, a.Target, w.req, time.Until(w.deadline), targethttp.Options{
+		FreshConnection: a.Fresh && !a.Once,
+		SilentAfter:     a.SilentAfter,
+	})
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case reply.Misdirected:
+		return nil, status.New(status.Draining, status.NotRun, "another target has the address of %s", a.Target)
+	case reply.NotRun:
+		return nil, status.Wrap(&relayapi.Failure{Reply: reply}, status.Shed, status.NotRun, "target %s refused", a.Target).WithRetryAfter(reply.RetryAfter)
+	case reply.Header.Get("Content-Encoding") != "", success(reply) && reply.Signature == "":
+		return nil, status.New(status.ReplyMismatch, status.Unknown, "the reply of target %s is not its own", a.Target)
+	case reply.Status >= http.StatusInternalServerError || !passable(reply.Status):
+		return nil, status.Wrap(&relayapi.Failure{Reply: reply}, status.Unavailable, status.Unknown, "target %s failed", a.Target)
+	}
+	return reply, nil
+}
+
+func success(reply *relayapi.Reply) bool { return reply.Status >= 200 && reply.Status <= 299 }
+
+// gatherWork merges the records of the shards.
+type gatherWork struct {
+	work
+	top   int
+	parts []*relayapi.Reply
+}
+
+// Start implements engine.Work.
+func (w *gatherWork) Start(s *index.Snapshot) { w.parts = make([]*relayapi.Reply, len(s.Shards)) }
+
+// Send implements engine.Work.
+func (w *gatherWork) Send(ctx context.Context, a engine.Attempt) (any, error) {
+	reply, err := w.send(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	if !success(reply) {
+		return nil, status.Wrap(&relayapi.Failure{Reply: reply}, status.Unavailable, status.Unknown, "target %s failed", a.Target)
+	}
+	return reply, nil
+}
+
+// Accept implements engine.Work.
+func (w *gatherWork) Accept(shard int, reply any) { w.parts[shard] = reply.(*relayapi.Reply) }
+
+// merged returns the answer of the shards that replied.
+func (w *gatherWork) merged() *relayapi.Merged {
+	m := &relayapi.Merged{}
+	bodies := make([][]byte, 0, len(w.parts))
+	for _, part := range w.parts {
+		if part == nil {
+			m.Missing++
+			continue
+		}
+		m.Signatures = append(m.Signatures, part.Signature)
+		bodies = append(bodies, part.Body)
+	}
+	m.Records = toprecords.Greatest(bodies, w.top)
+	return m
+}
+
+// passWork takes the reply of one target.
+type passWork struct {
+	work
+	reply *relayapi.Reply
+}
+
+// Start implements engine.Work.
+func (w *passWork) Start(*index.Snapshot) {}
+
+// Send implements engine.Work.
+func (w *passWork) Send(ctx context.Context, a engine.Attempt) (any, error) {
+	reply, err := w.send(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Accept implements engine.Work.
+func (w *passWork) Accept(_ int, reply any) { w.reply = reply.(*relayapi.Reply) }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -56,3 +56,10 @@
 		c.Add(field, fmt.Sprintf("(%d characters)", len(value)), fmt.Sprintf("at least %d characters", minKeyLength))
 	}
 }
+
+// Ratio requires a number from 0 to 1.
+func (c *Checks) Ratio(field string, value float64) {
+	if !(value >= 0 && value <= 1) {
+		c.Add(field, strconv.FormatFloat(value, 'g', -1, 64), "a number from 0 to 1")
+	}
+}
--- /dev/null
+++ b/internal/settings/relay.go
@@ -0,0 +1,82 @@
+package settings
+
+import "fmt"
+
+// Relay holds the settings of balsam-entry when it relays the requests of the
+// users' platform.
+type Relay struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// CallerAddress serves clients.
+	CallerAddress string `json:"caller_address"`
+	// ReadyAddress serves the balancer's checks.
+	ReadyAddress string `json:"ready_address"`
+	// PeerAddress serves other entries.
+	PeerAddress string `json:"peer_address"`
+	// MetricsAddress serves metrics. Empty serves none.
+	MetricsAddress string `json:"metrics_address"`
+	// PlatformAddress is the store that is read.
+	PlatformAddress string `json:"platform_address"`
+	// Seeds lists peer addresses that may be stale or down.
+	Seeds []string `json:"seeds"`
+	// PeerKey keeps other programs from speaking the protocol between entries.
+	PeerKey string `json:"peer_key"`
+	// LogLevel is a zerolog level. The default is "info".
+	LogLevel string `json:"log_level"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int64 `json:"memory_mb"`
+	// GraceS is the time from the stop signal to the kill, in seconds.
+	GraceS float64 `json:"grace_s"`
+	// RepeatRatio, RepeatMinimum and RepeatWindowS bound the repeats of the fleet at
+	// each target group: a ratio of the requests and a minimum in a window of seconds.
+	RepeatRatio   float64 `json:"repeat_ratio"`
+	RepeatMinimum float64 `json:"repeat_minimum"`
+	RepeatWindowS float64 `json:"repeat_window_s"`
+	// WatchersPerZone is the number of entries per zone that watch the store. The
+	// default is 2.
+	WatchersPerZone int64 `json:"watchers_per_zone"`
+	// ExchangeIntervalMS is the interval of exchanges between entries in
+	// milliseconds. The default is 500.
+	ExchangeIntervalMS int64 `json:"exchange_interval_ms"`
+}
+
+// NewRelay returns the default settings.
+func NewRelay() *Relay {
+	return &Relay{
+		LogLevel:           "info",
+		MemoryMB:           256,
+		GraceS:             6,
+		RepeatRatio:        0.2,
+		RepeatMinimum:      50,
+		RepeatWindowS:      10,
+		WatchersPerZone:    2,
+		ExchangeIntervalMS: 500,
+	}
+}
+
+// Check implements Checker.
+func (r *Relay) Check() []Problem {
+	var c Checks
+	c.Name("id", r.ID)
+	c.Name("zone", r.Zone)
+	c.Address("caller_address", r.CallerAddress)
+	c.Address("ready_address", r.ReadyAddress)
+	c.Address("peer_address", r.PeerAddress)
+	if r.MetricsAddress != "" {
+		c.Address("metrics_address", r.MetricsAddress)
+	}
+	c.Address("platform_address", r.PlatformAddress)
+	for i, seed := range r.Seeds {
+		c.Address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	c.Key("peer_key", r.PeerKey)
+	c.OneOf("log_level", r.LogLevel, "debug", "info", "warn", "error")
+	c.Range("memory_mb", r.MemoryMB, 32, 1<<20)
+	c.Range("grace_s", int64(r.GraceS), 1, 600)
+	c.Ratio("repeat_ratio", r.RepeatRatio)
+	c.Range("repeat_minimum", int64(r.RepeatMinimum), 0, 1_000_000)
+	c.Range("repeat_window_s", int64(r.RepeatWindowS), 1, 3_600)
+	c.Range("watchers_per_zone", r.WatchersPerZone, 1, 100)
+	c.Range("exchange_interval_ms", r.ExchangeIntervalMS, 10, 60_000)
+	return c.Problems
+}
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -8,6 +8,8 @@
 const (
 	SheetKey = "sheet"
 	IndexKey = "index"
+	// TargetsKey holds the targets of relayed services.
+	TargetsKey = "targets"
 )
 
 // Paths of the platform's HTTP interface.
--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -65,10 +65,12 @@
 	workspaces := s.checkWorkspaces(&c)
 	s.checkCallers(&c, workspaces, services)
 	s.checkTargets(&c)
+	groups := s.checkGroups(&c)
 	seen := make(map[string]bool, len(s.Services))
 	for i := range s.Services {
-		s.Services[i].check(&c, fmt.Sprintf("services[%d]", i), seen)
+		s.Services[i].check(&c, fmt.Sprintf("services[%d]", i), seen, groups)
 	}
+	s.checkRoutes(&c)
 	if len(s.Services) == 0 {
 		c.Add("services", "none", "at least one service")
 	}
@@ -133,7 +135,7 @@
 	}
 }
 
-func (s *Service) check(c *document.Checks, path string, seen map[string]bool) {
+func (s *Service) check(c *document.Checks, path string, seen, groups map[string]bool) {
 	c.Name(path+".name", s.Name, seen)
 	if s.Group != "" {
 		c.Name(path+".group", s.Group, nil)
@@ -148,6 +150,9 @@
 	}
 	c.Ratio(path+".coverage.min_ratio", s.Coverage.MinRatio)
 	s.checkRepeat(c, path)
+	if s.Relay != nil {
+		s.Relay.check(c, path+".relay", s.Repeat.Rule, groups)
+	}
 	c.Range(path+".limits.max_concurrency", int64(s.Limits.MaxConcurrency), 1, maxConcurrency)
 	c.Range(path+".limits.max_queue", int64(s.Limits.MaxQueue), 0, maxQueue)
 	c.Range(path+".limits.max_fanout", int64(s.Limits.MaxFanout), 1, maxFanout)
@@ -165,6 +170,9 @@
 			c.Add(path+".repeat.window_s", strconv.FormatInt(s.Repeat.WindowS, 10), "0 or absent for the rule idempotent")
 		}
 	case AtMostOnce:
+		if s.Relay != nil && s.Repeat.WindowS == 0 {
+			return // A relayed request is one attempt chain and needs no permit.
+		}
 		c.Range(path+".repeat.window_s", s.Repeat.WindowS, 1, maxWindowS)
 	default:
 		c.Add(path+".repeat.rule", strconv.Quote(string(s.Repeat.Rule)), fmt.Sprintf("one of %q", []RepeatRule{Idempotent, AtMostOnce}))
--- a/protocol/sheet/sheet.go
+++ b/protocol/sheet/sheet.go
@@ -23,6 +23,10 @@
 	Callers    []Caller    `json:"callers"`
 	Targets    []Target    `json:"targets"`
 	Services   []Service   `json:"services"`
+	// Groups are the target groups of relayed services.
+	Groups []Group `json:"groups,omitempty"`
+	// CallerLimits bound the requests of relayed services.
+	CallerLimits CallerLimits `json:"caller_limits,omitzero"`
 }
 
 // Workspace is a member's or shop's private area.
@@ -66,6 +70,8 @@
 	Limits   Limits   `json:"limits"`
 	Hedge    Hedge    `json:"hedge"`
 	Canary   Canary   `json:"canary,omitzero"`
+	// Relay makes the service pass requests on as they are. Nil means searches.
+	Relay *Relay `json:"relay,omitempty"`
 }
 
 // Latency is the latency rule of a contract.
--- a/transport/adminhttp/server.go
+++ b/transport/adminhttp/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"net/url"
 	"strings"
 	"time"
 
@@ -65,6 +66,21 @@
 	return srv
 }
 
+// NewMetricsServer returns a kratos server on lis that serves metrics only, without
+// a key.
+func NewMetricsServer(lis net.Listener) *khttp.Server {
+	srv := khttp.NewServer(khttp.Listener(lis), Endpoint(lis), khttp.Timeout(requestTimeout))
+	srv.ReadHeaderTimeout = 5 * time.Second
+	srv.HandleFunc("/debug/vars", expvar.Handler().ServeHTTP)
+	return srv
+}
+
+// Endpoint states a server's own address. Without it kratos lists the network
+// interfaces, which not every host allows.
+func Endpoint(lis net.Listener) khttp.ServerOption {
+	return khttp.Endpoint(&url.URL{Scheme: "http", Host: lis.Addr().String()})
+}
+
 type health struct {
 	Status string `json:"status"`
 	Error  string `json:"error,omitempty"`
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -11,10 +11,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -22,7 +18,6 @@
 
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
 
 // EntryHeader names the entry that makes a call.
@@ -55,56 +50,26 @@
 	DefaultTimeout = 2 * time.Second
 )
 
-// Options are the settings of a Client. Zero values select the defaults.
-type Options struct {
-	// Timeout bounds a call. A watch may take its waiting time longer. The
-	// default is 2 s; the platform answers in milliseconds.
-	Timeout time.Duration
-}
-
 // Client reads from the platform. It may be used by many goroutines.
-type Client struct {
-	http      *khttp.Client
-	transport *http.Transport
-	entryID   string
-	timeout   time.Duration
-}
+type Client struct{ reader *Reader }
 
 // New returns a client of the platform at address (IP:port). Its calls carry
 // entryID in the header X-Balsam-Entry.
 func New(address, entryID string, opts Options) (*Client, error) {
-	if opts.Timeout <= 0 {
-		opts.Timeout = DefaultTimeout
-	}
-	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost: maxConnections,
-		IdleConnTimeout: idleTimeout,
-	}
-	client, err := khttp.NewClient(context.Background(),
-		khttp.WithEndpoint(address),
-		khttp.WithTransport(transport),
-		khttp.WithTimeout(0), // Each call has a deadline of its own.
-		khttp.WithResponseDecoder(decodeReply),
-		khttp.WithErrorDecoder(decodeError),
-	)
+	reader, err := NewReader(address, http.Header{EntryHeader: {entryID}}, opts)
 	if err != nil {
-		return nil, status.Wrap(err, status.InvalidArgument, "", "platform address %q", address)
+		return nil, err
 	}
-	return &Client{http: client, transport: transport, entryID: entryID, timeout: opts.Timeout}, nil
+	return &Client{reader: reader}, nil
 }
 
 // Close closes the unused connections. Calls should have ended before.
-func (c *Client) Close() {
-	// Without discovery, kratos' client has nothing to close and returns nil.
-	_ = c.http.Close()
-	c.transport.CloseIdleConnections()
-}
+func (c *Client) Close() { c.reader.Close() }
 
 // Get returns the published document with the given key.
 func (c *Client) Get(ctx context.Context, key string) (platformapi.Document, error) {
 	reply := documentReply{}
-	err := c.call(ctx, platformapi.ConfigPath+url.PathEscape(key), 0, &reply)
+	err := c.reader.call(ctx, platformapi.ConfigPath+url.PathEscape(key), 0, &reply)
 	return reply.document, err
 }
 
@@ -117,46 +82,17 @@
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	reply := documentReply{}
-	err = c.call(ctx, platformapi.WatchPath+url.PathEscape(key)+"?"+query.Encode(), wait, &reply)
+	err = c.reader.call(ctx, platformapi.WatchPath+url.PathEscape(key)+"?"+query.Encode(), wait, &reply)
 	return reply.document, err == nil && !reply.empty, err
 }
 
 // Hosts returns the platform's host list, which lags.
 func (c *Client) Hosts(ctx context.Context) ([]platformapi.Host, error) {
 	reply := hostsReply{}
-	err := c.call(ctx, platformapi.HostsPath, 0, &reply)
+	err := c.reader.call(ctx, platformapi.HostsPath, 0, &reply)
 	return reply.list.Hosts, err
 }
 
-func (c *Client) call(ctx context.Context, path string, extra time.Duration, reply decoder) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+extra)
-	defer cancel()
-	header := http.Header{EntryHeader: {c.entryID}}
-	err := c.http.Invoke(ctx, http.MethodGet, path, nil, reply, khttp.Header(&header))
-	return typed(ctx, err)
-}
-
-// typed returns err as a *status.Error.
-func typed(ctx context.Context, err error) error {
-	var known *status.Error
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &known):
-		return known
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return status.Wrap(err, status.DeadlineExceeded, "", "platform did not answer in time")
-	case ctx.Err() != nil:
-		return status.Wrap(err, status.Canceled, "", "platform call ended")
-	}
-	return status.Wrap(err, status.ConnectionFailed, "", "platform call failed")
-}
-
-// decoder reads the body of an answer with status 2xx.
-type decoder interface {
-	decode(res *http.Response) error
-}
-
 type documentReply struct {
 	document platformapi.Document
 	empty    bool
@@ -181,59 +117,3 @@
 func (r *hostsReply) decode(res *http.Response) error {
 	return decodeJSON(res, maxHostListBytes, &r.list)
 }
-
-// decodeJSON reads at most limit bytes.
-func decodeJSON(res *http.Response, limit int64, out any) error {
-	data, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
-	if err != nil {
-		return err
-	}
-	if int64(len(data)) > limit {
-		return status.New(status.TooLarge, "", "platform answer has more than %d bytes", limit)
-	}
-	if err := json.Unmarshal(data, out); err != nil {
-		return status.Wrap(err, status.Internal, "", "platform answer is not valid JSON")
-	}
-	return nil
-}
-
-func decodeReply(_ context.Context, res *http.Response, out any) error {
-	return out.(decoder).decode(res)
-}
-
-// decodeError returns nil for a status of 2xx.
-func decodeError(_ context.Context, res *http.Response) error {
-	if res.StatusCode >= 200 && res.StatusCode <= 299 {
-		return nil
-	}
-	defer res.Body.Close()
-	// Reading the rest lets the connection be used again; what it says is not
-	// needed.
-	_, _ = io.CopyN(io.Discard, res.Body, maxErrorBytes)
-	err := status.New(codeOf(res.StatusCode), "", "platform answered %s", res.Status)
-	return err.WithRetryAfter(retryAfter(res.Header.Get("Retry-After"), time.Now()))
-}
-
-func codeOf(httpStatus int) status.Code {
-	switch {
-	case httpStatus == http.StatusTooManyRequests:
-		return status.RateLimited
-	case httpStatus == http.StatusNotFound:
-		return status.NotFound
-	case httpStatus >= http.StatusInternalServerError:
-		return status.Unavailable
-	}
-	return status.InvalidArgument
-}
-
-// retryAfter parses the header Retry-After, seconds or a date, and bounds the
-// result to 5 min. It returns 0 for anything else.
-func retryAfter(value string, now time.Time) time.Duration {
-	if seconds, err := strconv.ParseUint(value, 10, 32); err == nil {
-		return min(time.Duration(seconds)*time.Second, maxRetryAfter)
-	}
-	if date, err := http.ParseTime(value); err == nil {
-		return min(max(date.Sub(now), 0), maxRetryAfter)
-	}
-	return 0
-}
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -62,9 +62,12 @@
 }
 
 // New returns a client without connections.
-func New(m Metrics) *Client {
+func New(m Metrics) *Client { return NewWithDialer(m, &net.Dialer{Timeout: DefaultDialTimeout}) }
+
+// NewWithDialer returns a client that opens connections with the dialer.
+func NewWithDialer(m Metrics, dial *net.Dialer) *Client {
 	return &Client{
-		dial:    &net.Dialer{Timeout: DefaultDialTimeout},
+		dial:    dial,
 		pools:   make(map[string]*pool),
 		metrics: m,
 	}
@@ -313,6 +316,10 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return status.Wrap(err, status.DeadlineExceeded, outcome, "attempt at target %s", x.target)
 	}
+	var known *status.Error
+	if errors.As(err, &known) {
+		return known
+	}
 	return status.Wrap(err, status.ConnectionFailed, outcome, "attempt at target %s", x.target)
 }
 
--- a/transport/targethttp/conn.go
+++ b/transport/targethttp/conn.go
@@ -20,6 +20,9 @@
 	opened time.Time
 	// lastReply is the time of the last complete reply, zero before the first.
 	lastReply time.Time
+	// expires is the time after which the target may close the idle connection, zero
+	// when it states none.
+	expires time.Time
 }
 
 func newConn(c net.Conn, now time.Time) *conn {
@@ -36,7 +39,7 @@
 // bytes. A target may close an idle connection at any time, and a request sent
 // on a closed connection would have an unknown outcome.
 func (c *conn) alive() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || !c.expires.IsZero() && time.Now().After(c.expires) {
 		return false
 	}
 	sc, ok := c.Conn.(syscall.Conn)
