Watch the store once for both documents, settle after outages, reload settings

Ruled out: peers (all entries had the old version; no watcher knew it). Change: one watch of 1.5 s serves sheet and targets; entries that lapse while the store is away stay in force for 2.2 s after its return; SIGHUP and a changed file reload the seeds, a faulty file is refused.

--- a/cmd/balsam-entry/main.go
+++ b/cmd/balsam-entry/main.go
@@ -42,7 +42,7 @@
 	if args.Platform {
 		set := settings.NewRelay()
 		log := start(args, set, &set.LogLevel, os.Stdout)
-		if err := relayPlatform(set, log); err != nil {
+		if err := relayPlatform(args.Config, set, log); err != nil {
 			fail(exitFailed, err)
 		}
 		return
--- a/cmd/balsam-entry/platform.go
+++ b/cmd/balsam-entry/platform.go
@@ -20,8 +20,8 @@
 // harder. The rest is for stacks and for bytes that wait in sockets.
 const memoryShare = 0.7
 
-// relayPlatform serves the users' platform.
-func relayPlatform(set *settings.Relay, log zerolog.Logger) error {
+// relayPlatform serves the users' platform with the settings of the file at path.
+func relayPlatform(path string, set *settings.Relay, log zerolog.Logger) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB<<20)))
 	documents, err := store.New(set.PlatformAddress, log)
 	if err != nil {
@@ -38,5 +38,5 @@
 	if err != nil {
 		return err
 	}
-	return daemon.Run()
+	return daemon.Run(path)
 }
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -11,7 +11,7 @@
 )
 
 // layers is the import order, lowest first.
-var layers = []string{"protocol", "state", "coordination", "transport", "internal", "cmd"}
+var layers = []string{"protocol", "state", "coordination", "transport", "internal", "platform", "cmd"}
 
 // clockFunctions are the functions of package time that read a clock or wait.
 var clockFunctions = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"}
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -70,6 +70,14 @@
 	// ReadGap is the least time from one change that a watch returned to the next
 	// call, so that changes in quick succession take one call. The default is 0.
 	ReadGap time.Duration
+	// Lossless is set for a platform that never goes back to an earlier state. Its
+	// documents are not read as a whole after a failed call.
+	Lossless bool
+	// SettleKey is a document whose entries may lapse while the platform is away, and
+	// come back shortly after. After an outage longer than SettleOutage the document is
+	// taken over only SettleTime after the platform's return. Empty for none.
+	SettleKey                string
+	SettleOutage, SettleTime time.Duration
 	// CallTimeout bounds a call to a peer. The default is 1 s.
 	CallTimeout time.Duration
 	// StartupTimeout bounds Refresh, with which a starting entry asks its peers
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -52,6 +52,8 @@
 	nextPoll time.Time
 	// nextWhole is when the next whole read is due.
 	nextWhole time.Time
+	// reached is when the last call that succeeded began, zero before the first.
+	reached time.Time
 }
 
 // followPlatform watches a key while this entry is a watcher, and polls it
@@ -71,11 +73,11 @@
 		if err != nil {
 			f.failures++
 			// The platform may come back with an earlier state.
-			f.whole = f.whole || watching
+			f.whole = f.whole || watching && !s.cfg.Lossless
 			s.pausePlatform(ctx, f, err)
 			continue
 		}
-		f.failures = 0
+		f.failures, f.reached = 0, began
 		f.nextPoll = time.Now().Add(s.pollPause())
 		if !changed {
 			sleep(ctx, min(minCallGap, s.cfg.WatchWait)-time.Since(began))
@@ -97,6 +99,9 @@
 	default:
 		doc, changed, err = s.deps.Platform.Watch(ctx, f.key, f.after, 0)
 	}
+	if err == nil && f.key == s.cfg.SettleKey && s.outage(f) {
+		doc, changed, err = s.settle(ctx, f, doc, changed)
+	}
 	if err != nil || !changed && !f.whole {
 		return false, err
 	}
@@ -115,6 +120,28 @@
 	return changed, nil
 }
 
+// outage reports whether the platform was away long enough for entries to lapse.
+func (s *Syncer) outage(f *follower) bool {
+	return !f.reached.IsZero() && time.Since(f.reached) > s.cfg.SettleOutage+s.cfg.WatchWait
+}
+
+// settle waits until the entries that lapsed during an outage are back, and returns
+// the document of then.
+func (s *Syncer) settle(ctx context.Context, f *follower, doc platformapi.Document, changed bool) (platformapi.Document, bool, error) {
+	s.deps.Log.Info().Str("key", f.key).Dur("outage", time.Since(f.reached)).Dur("wait", s.cfg.SettleTime).
+		Msg("the platform is back; waiting for entries that lapsed")
+	sleep(ctx, s.cfg.SettleTime)
+	after := f.after
+	if changed {
+		after = doc.Version
+	}
+	later, news, err := s.deps.Platform.Watch(ctx, f.key, after, 0)
+	if err != nil || !news {
+		return doc, changed, err
+	}
+	return later, true, nil
+}
+
 // pausePlatform waits after a failed call.
 func (s *Syncer) pausePlatform(ctx context.Context, f *follower, err error) {
 	s.mu.Lock()
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -72,12 +72,19 @@
 		s.offers[key] = &offerQueue{signal: make(chan struct{}, 1)}
 	}
 	s.view.Store(&View{})
-	hints := make([]membership.Entry, len(cfg.Peers))
-	for i, p := range cfg.Peers {
+	s.SetPeers(cfg.Peers)
+	return s
+}
+
+// SetPeers replaces the entries that the settings name.
+func (s *Syncer) SetPeers(peers []Peer) {
+	hints := make([]membership.Entry, len(peers))
+	for i, p := range peers {
 		hints[i] = membership.Entry{ID: p.Entry, Zone: p.Zone, Address: p.Address}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.table.Hint(membership.FromSettings, hints)
-	return s
 }
 
 // Run works until ctx ends and returns when all its goroutines have ended.
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -33,8 +33,15 @@
 	// unknownFleet is the number of entries that is assumed while none is known. It
 	// exceeds the fleets of today.
 	unknownFleet = 100
-	// relayWatchWait is how long a watch of the store waits. Each call has a price.
-	relayWatchWait = 20 * time.Second
+	// relayWatchWait is how long a watch of the store waits. A watch may hear nothing
+	// of a change; the next one does, in time for the 3 s within which it must be in
+	// force. Each call has a price.
+	relayWatchWait = 1500 * time.Millisecond
+	// relaySettleOutage is shorter than the three heartbeats of 1.2 s after which the
+	// store removes a silent target.
+	relaySettleOutage = 1500 * time.Millisecond
+	// relaySettleTime covers the 2 s in which targets that lapsed are back.
+	relaySettleTime = 2200 * time.Millisecond
 	// relayPollInterval is the interval at which entries read the store that do not
 	// watch it. They learn from their peers.
 	relayPollInterval = 10 * time.Minute
@@ -132,6 +139,10 @@
 		WatchWait:        relayWatchWait,
 		MaxBackoff:       relayMaxBackoff,
 		ReadGap:          relayReadGap,
+		Lossless:         true,
+		SettleKey:        platformapi.TargetsKey,
+		SettleOutage:     relaySettleOutage,
+		SettleTime:       relaySettleTime,
 	}, configsync.Deps{
 		Platform:      documents,
 		Peers:         d.pool,
@@ -195,13 +206,15 @@
 	return nil
 }
 
-// Run serves until SIGTERM or SIGINT, then stops gracefully.
-func (d *RelayDaemon) Run() error {
+// Run serves until SIGTERM or SIGINT, then stops gracefully. It reads the settings
+// file at path again when it changes.
+func (d *RelayDaemon) Run(path string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { d.syncer.Run(ctx) })
 	running.Go(func() { d.core.WatchPauses(ctx) })
 	running.Go(func() { d.maintain(ctx) })
+	running.Go(func() { d.watchSettings(ctx, path) })
 	d.metrics.Publish()
 	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
 	err := d.app.Run()
--- a/state/audit/audit.go
+++ b/state/audit/audit.go
@@ -30,11 +30,14 @@
 	Stopped          Kind = "stopped"
 	Quarantined      Kind = "quarantined"
 	Succession       Kind = "succession"
+	// SettingsReloaded and SettingsRefused tell about a settings file that changed.
+	SettingsReloaded Kind = "settings_reloaded"
+	SettingsRefused  Kind = "settings_refused"
 )
 
 // Kinds lists every kind.
 func Kinds() []Kind {
-	return []Kind{DocumentAccepted, DocumentRefused, RevisionConflict, DrainStarted, Started, Stopped, Quarantined, Succession}
+	return []Kind{DocumentAccepted, DocumentRefused, RevisionConflict, DrainStarted, Started, Stopped, Quarantined, Succession, SettingsReloaded, SettingsRefused}
 }
 
 // Event is one record of the trail.
