Measure outages of the platform from its failed calls

The outage was the time since the last successful call began, and joined watches wait long. Ruled out: slow spreading among peers (all entries knew it at the same time). Change: an outage lasts from the first of the calls that failed in a row. TestQuietPlatformIsNoOutage fails with the old measure.

--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -67,9 +67,6 @@
 	// MaxBackoff bounds the pause after failed calls to the platform. The default is
 	// 30 s.
 	MaxBackoff time.Duration
-	// ReadGap is the least time from one change that a watch returned to the next
-	// call, so that changes in quick succession take one call. The default is 0.
-	ReadGap time.Duration
 	// Lossless is set for a platform that never goes back to an earlier state. Its
 	// documents are not read as a whole after a failed call.
 	Lossless bool
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -52,8 +52,9 @@
 	nextPoll time.Time
 	// nextWhole is when the next whole read is due.
 	nextWhole time.Time
-	// reached is when the last call that succeeded began, zero before the first.
-	reached time.Time
+	// failing is when the first of the calls that failed in a row began, zero after a
+	// call that succeeded.
+	failing time.Time
 }
 
 // followPlatform watches a key while this entry is a watcher, and polls it
@@ -72,17 +73,18 @@
 		changed, err := s.readPlatform(ctx, f, watching)
 		if err != nil {
 			f.failures++
+			if f.failing.IsZero() {
+				f.failing = began
+			}
 			// The platform may come back with an earlier state.
 			f.whole = f.whole || watching && !s.cfg.Lossless
 			s.pausePlatform(ctx, f, err)
 			continue
 		}
-		f.failures, f.reached = 0, began
+		f.failures, f.failing = 0, time.Time{}
 		f.nextPoll = time.Now().Add(s.pollPause())
 		if !changed {
 			sleep(ctx, min(minCallGap, s.cfg.WatchWait)-time.Since(began))
-		} else if s.cfg.ReadGap > 0 {
-			sleep(ctx, s.cfg.ReadGap)
 		}
 	}
 }
@@ -122,13 +124,13 @@
 
 // outage reports whether the platform was away long enough for entries to lapse.
 func (s *Syncer) outage(f *follower) bool {
-	return !f.reached.IsZero() && time.Since(f.reached) > s.cfg.SettleOutage+s.cfg.WatchWait
+	return !f.failing.IsZero() && time.Since(f.failing) > s.cfg.SettleOutage
 }
 
 // settle waits until the entries that lapsed during an outage are back, and returns
 // the document of then.
 func (s *Syncer) settle(ctx context.Context, f *follower, doc platformapi.Document, changed bool) (platformapi.Document, bool, error) {
-	s.deps.Log.Info().Str("key", f.key).Dur("outage", time.Since(f.reached)).Dur("wait", s.cfg.SettleTime).
+	s.deps.Log.Info().Str("key", f.key).Dur("outage", time.Since(f.failing)).Dur("wait", s.cfg.SettleTime).
 		Msg("the platform is back; waiting for entries that lapsed")
 	sleep(ctx, s.cfg.SettleTime)
 	after := f.after
--- /dev/null
+++ b/internal/configsync/settle_test.go
@@ -0,0 +1,124 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
+	"github.com/balsamstall/balsamstall/state/audit"
+)
+
+// scriptedPlatform answers the calls for one document from a script.
+type scriptedPlatform struct {
+	mu sync.Mutex
+	// down makes calls fail. Guarded by mu.
+	down bool
+	// doc is what the platform holds. Guarded by mu.
+	doc platformapi.Document
+}
+
+func (p *scriptedPlatform) set(version uint64, value string, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.doc = platformapi.Document{Key: platformapi.TargetsKey, Version: version, Value: json.RawMessage(value)}
+}
+
+func (p *scriptedPlatform) Get(context.Context, string) (platformapi.Document, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return platformapi.Document{}, status.New(status.Unavailable, "", "down")
+	}
+	return p.doc, nil
+}
+
+func (p *scriptedPlatform) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platformapi.Document, bool, error) {
+	end := time.Now().Add(wait)
+	for {
+		doc, err := p.Get(ctx, key)
+		if err != nil || doc.Version > after || !time.Now().Before(end) || ctx.Err() != nil {
+			return doc, err == nil && doc.Version > after, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (p *scriptedPlatform) Hosts(context.Context) ([]platformapi.Host, error) { return nil, nil }
+
+// noPeers is a network without other entries.
+type noPeers struct{}
+
+func (noPeers) Exchange(context.Context, string, *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return nil, status.New(status.ConnectionFailed, status.NotRun, "no peer")
+}
+
+func (noPeers) Fetch(context.Context, string, *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return nil, status.New(status.ConnectionFailed, status.NotRun, "no peer")
+}
+
+const (
+	twoTargets = `{"revision":5,"targets":[{"id":"a","group":"g","address":"127.0.0.1:1","zone":"z","slots":1},{"id":"b","group":"g","address":"127.0.0.1:2","zone":"z","slots":1}]}`
+	noTargets  = `{"revision":8,"targets":[]}`
+	oneBack    = `{"revision":9,"targets":[{"id":"a","group":"g","address":"127.0.0.1:1","zone":"z","slots":1}]}`
+)
+
+func startSettling(t *testing.T, p *scriptedPlatform, changes chan<- int) {
+	t.Helper()
+	s := New(Config{
+		Keys: []string{platformapi.TargetsKey}, Entry: "e", Zone: "z", Address: "127.0.0.1:9", Incarnation: ids.NewIncarnation(),
+		WatchWait: 20 * time.Millisecond, MaxBackoff: 20 * time.Millisecond, PollInterval: time.Hour, Lossless: true,
+		SettleKey: platformapi.TargetsKey, SettleOutage: 100 * time.Millisecond, SettleTime: 200 * time.Millisecond,
+	}, Deps{
+		Platform: p, Peers: noPeers{}, Audit: audit.New(zerolog.Nop()), Log: zerolog.Nop(), ParseTargets: targetlist.Parse,
+		OnChange: func(v *View) { changes <- len(v.Targets.Targets) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// Guards against an empty target list after an outage of the platform during which
+// the registrations lapsed: those that come back are taken over together.
+func TestLapsedEntriesAreNotTakenForGone(t *testing.T) {
+	is := is.New(t)
+	p := &scriptedPlatform{}
+	p.set(5, twoTargets, false)
+	changes := make(chan int, 16)
+	startSettling(t, p, changes)
+	is.Equal(<-changes, 2)
+	p.set(5, twoTargets, true)
+	time.Sleep(300 * time.Millisecond)
+	p.set(8, noTargets, false)
+	time.Sleep(50 * time.Millisecond)
+	p.set(9, oneBack, false)
+	is.Equal(<-changes, 1) // never 0
+}
+
+// Guards against a removal that is held back although the platform was never away,
+// however long its watches wait: a leaving target would get work for too long.
+func TestQuietPlatformIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	p := &scriptedPlatform{}
+	p.set(5, twoTargets, false)
+	changes := make(chan int, 16)
+	startSettling(t, p, changes)
+	is.Equal(<-changes, 2)
+	time.Sleep(300 * time.Millisecond) // Many watches without news.
+	p.set(8, noTargets, false)
+	time.Sleep(50 * time.Millisecond)
+	p.set(9, oneBack, false)
+	is.Equal(<-changes, 0)
+	is.Equal(<-changes, 1)
+}
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -39,7 +39,7 @@
 	relayWatchWait = 1500 * time.Millisecond
 	// relaySettleOutage is shorter than the three heartbeats of 1.2 s after which the
 	// store removes a silent target.
-	relaySettleOutage = 1500 * time.Millisecond
+	relaySettleOutage = 3 * time.Second
 	// relaySettleTime covers the 2 s in which targets that lapsed are back.
 	relaySettleTime = 2200 * time.Millisecond
 	// relayPollInterval is the interval at which entries read the store that do not
@@ -48,8 +48,6 @@
 	// relayMaxBackoff bounds the pause after failed calls, so that an entry knows the
 	// present state within the 3 s after an outage in which it must be in force.
 	relayMaxBackoff = time.Second
-	// relayReadGap lets changes in quick succession take one call.
-	relayReadGap = 150 * time.Millisecond
 	// balancerNotice is the time from a stop signal until the balancer sends no new
 	// connections: two checks of one second, and one more on their way.
 	balancerNotice = 2500 * time.Millisecond
@@ -138,7 +136,6 @@
 		HostInterval:     relayPollInterval,
 		WatchWait:        relayWatchWait,
 		MaxBackoff:       relayMaxBackoff,
-		ReadGap:          relayReadGap,
 		Lossless:         true,
 		SettleKey:        platformapi.TargetsKey,
 		SettleOutage:     relaySettleOutage,
