Compare all replicas of a shard and limit its sub-requests in flight

Ruled out: the hedge delay (hedges fail for lack of budget on just these shards). Change: replica.Pick compares all of up to 4 candidates. coordination/shardlimit bounds the sub-requests in flight per shard and entry; one over the limit is left out at once. Requests that lack too many shards should be refused before anything is sent.

--- a/coordination/replica/pick.go
+++ b/coordination/replica/pick.go
@@ -30,6 +30,10 @@
 	// that it decides only between targets with the same number in flight or
 	// with many in flight.
 	localAdvantage = 1.25
+	// maxCompared is the number of candidates up to which all are compared. The sets
+	// of a shard have about three. A larger set is spread by two random choices,
+	// because entries that all take the best one would overload it.
+	maxCompared = 4
 	// maxDraws bounds the random draws for one candidate before a scan.
 	maxDraws = 4
 	// maxScan bounds the search for a candidate that is not held.
@@ -37,10 +41,13 @@
 )
 
 // Pick returns the index in candidates of the replica that gets the attempt. It
-// reports false when every candidate is excluded. It calls score at most twice
-// unless both drawn candidates are held; then it looks at a bounded number of
-// others.
+// reports false when every candidate is excluded. Of a few candidates it compares
+// all. Of more it calls score twice, unless both drawn candidates are held; then it
+// looks at a bounded number of others.
 func Pick(rng Rand, candidates []Candidate, score func(target int) Score) (index int, ok bool) {
+	if len(candidates) <= maxCompared {
+		return cheapest(rng, candidates, score)
+	}
 	a := draw(rng, candidates, -1)
 	if a < 0 {
 		return 0, false
@@ -62,6 +69,40 @@
 	return a, true
 }
 
+// cheapest compares all candidates. Two drawn of three are both slow in a third of
+// the draws when two are.
+func cheapest(rng Rand, candidates []Candidate, score func(target int) Score) (index int, ok bool) {
+	best := -1
+	var bestScore Score
+	first := 0
+	if len(candidates) > 0 {
+		first = rng.IntN(len(candidates)) // Equal candidates get even parts.
+	}
+	skipped := -1
+	var skippedScore Score
+	for k := range candidates {
+		i := (first + k) % len(candidates)
+		c := &candidates[i]
+		switch {
+		case c.Excluded:
+			continue
+		case c.Weight > 0 && c.Weight < 1 && rng.Float64() >= c.Weight:
+			if s := score(c.Target); skipped < 0 || skippedScore.Held && !s.Held {
+				skipped, skippedScore = i, s
+			}
+			continue
+		}
+		s := score(c.Target)
+		if best < 0 || better(*c, s, candidates[best], bestScore) {
+			best, bestScore = i, s
+		}
+	}
+	if best < 0 || bestScore.Held && skipped >= 0 && !skippedScore.Held {
+		best = skipped
+	}
+	return best, best >= 0
+}
+
 // draw returns the index of a random candidate other than skip, or -1.
 func draw(rng Rand, candidates []Candidate, skip int) int {
 	n := len(candidates)
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -13,7 +13,7 @@
 func (q *query) launchRest() {
 	q.canary = none
 	for i := range q.subs {
-		if !q.subs[i].launched {
+		if !q.subs[i].launched && q.aborted == nil {
 			q.launchFirst(i)
 		}
 	}
@@ -30,9 +30,15 @@
 	if i == q.canary && i != q.trial {
 		s.restAt = s.started.Add(q.canaryWait())
 	}
-	if q.launch(i) {
+	if !q.engine.policy.free(q.req, s.shard) {
+		q.trace.began(s.shard, "", causeOverLimit)
+		q.miss(i, callerapi.ReasonShed)
 		return
 	}
+	if q.launch(i, causeFirst) {
+		return
+	}
+	q.trace.began(s.shard, "", causeNoReplica)
 	q.miss(i, callerapi.ReasonNoReplica)
 	switch i {
 	case q.trial:
@@ -44,7 +50,7 @@
 }
 
 // launch sends an attempt of a sub-request to a target that was not tried yet.
-func (q *query) launch(i int) bool {
+func (q *query) launch(i int, cause string) bool {
 	s := &q.subs[i]
 	if s.attempts >= maxAttempts || q.req.Contract.MaxRuns > 0 && s.ran+s.outstanding >= q.req.Contract.MaxRuns {
 		return false
@@ -61,6 +67,7 @@
 	s.attempts++
 	s.outstanding++
 	q.attempts++
+	q.trace.began(s.shard, target, cause)
 	go q.engine.attempt(s.ctx, q.req, q.results, attemptResult{
 		round: q.round, sub: i, target: target, alone: i == q.trial,
 	}, Attempt{
@@ -76,7 +83,7 @@
 
 // attempt sends one attempt and reports its result.
 func (e *Engine) attempt(ctx context.Context, req *Request, results chan<- attemptResult, r attemptResult, a Attempt) {
-	token := e.policy.start(req.Service, r.target)
+	token := e.policy.start(req, a.Shard, r.target)
 	r.reply, r.err = req.Work.Send(ctx, a)
 	e.policy.finish(token, classOf(r.err))
 	e.metrics.attempt(r.err)
@@ -102,6 +109,7 @@
 	}
 	s := &q.subs[r.sub]
 	s.outstanding--
+	q.trace.ended(s.shard, r.target, r.err)
 	if mayHaveArrived(r.err) {
 		s.arrived++
 	}
@@ -136,10 +144,11 @@
 	reason := reasonOf(code)
 	switch q.mayRetry(s, code) {
 	case retryAllowed:
-		if q.launch(r.sub) {
+		if q.launch(r.sub, causeRetry) {
 			return
 		}
 	case retryOverBudget:
+		q.trace.began(s.shard, "", causeNoBudget)
 		// Admission control must see that a target shed the attempt.
 		if code != status.Shed {
 			reason = callerapi.ReasonRetryBudget
--- a/internal/engine/canary.go
+++ b/internal/engine/canary.go
@@ -59,7 +59,7 @@
 		held := q.held
 		q.held = nil
 		for _, h := range held {
-			if !q.launch(h) {
+			if !q.launch(h, causeRetry) {
 				q.miss(h, callerapi.ReasonConnectionFailed)
 			}
 		}
@@ -106,7 +106,7 @@
 			return
 		}
 	}
-	if decision.Verdict != quarantine.Refuse && q.launch(i) {
+	if decision.Verdict != quarantine.Refuse && q.launch(i, causeRetry) {
 		return
 	}
 	q.endTrial(false)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -75,6 +75,8 @@
 	audit   *audit.Trail
 	pause   *pauseGuard
 	metrics *Metrics
+	// requests logs requests, with a bounded rate.
+	requests zerolog.Logger
 }
 
 // New returns an engine without services.
@@ -107,6 +109,7 @@
 		verify:  cfg.Verify,
 		audit:   cfg.Audit,
 	}
+	e.requests = requestLog(cfg.Log)
 	e.pause = newPauseGuard(cfg.Self, e.afterPause)
 	return e
 }
--- a/internal/engine/hedging.go
+++ b/internal/engine/hedging.go
@@ -60,12 +60,15 @@
 		})
 		switch decision.Verdict {
 		case hedge.Send:
-			if q.launch(i) {
+			if q.launch(i, causeHedge) {
 				q.engine.metrics.Hedges.Add(1)
 			}
 		case hedge.Wait:
 			s.hedgeAt = now.Add(decision.Wait)
 		case hedge.Slow, hedge.Exhausted:
+			if !s.repeated {
+				q.trace.began(s.shard, "", causeNoBudget)
+			}
 			s.repeated = true
 			s.hedgeAt = now.Add(decision.Wait)
 		}
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -13,6 +13,7 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/coordination/shardlimit"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
@@ -80,6 +81,8 @@
 	mu sync.Mutex
 	// repeats is guarded by mu.
 	repeats *retrybudget.FleetShare
+	// limit is guarded by mu.
+	limit *shardlimit.Limiter
 }
 
 func newLoaded(self Identity, leaving *leavingSet) *loaded {
@@ -274,8 +277,34 @@
 	return ids[(first+i)%len(ids)], true
 }
 
-func (l *loaded) start(service, target string) attemptToken {
-	t := attemptToken{target: l.targets.Get(target), service: l.service(service)}
+// usefulPart is the part of the time to the cutoff within which a reply shows that
+// its shard is not overloaded.
+const usefulPart = 0.5
+
+func (l *loaded) free(req *Request, shard int) bool {
+	if len(req.Pools) < 2 {
+		return true // Nothing is gained by leaving out the only shard.
+	}
+	p := l.pool(req.Pools[shard])
+	if p == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit.Free()
+}
+
+func (l *loaded) start(req *Request, shard int, target string) attemptToken {
+	t := attemptToken{target: l.targets.Get(target), service: l.service(req.Service), began: l.now()}
+	if len(req.Pools) > 1 {
+		if t.pool = l.pool(req.Pools[shard]); t.pool != nil {
+			at, _ := req.Contract.Cutoff.At()
+			t.useful = time.Duration(usefulPart * float64(at))
+			t.pool.mu.Lock()
+			t.pool.limit.Start()
+			t.pool.mu.Unlock()
+		}
+	}
 	if t.target != nil {
 		t.token = t.target.Lock().stats.Start(l.now())
 		t.target.Unlock()
@@ -284,10 +313,17 @@
 }
 
 func (l *loaded) finish(t attemptToken, class replica.Class) {
+	now := l.now()
+	if t.pool != nil {
+		took := now - t.began
+		t.pool.mu.Lock()
+		// An attempt that was given up early, such as the loser of a hedge, tells nothing.
+		t.pool.limit.End(now, class == replica.Success && took <= t.useful, class != replica.Canceled || took > t.useful)
+		t.pool.mu.Unlock()
+	}
 	if t.target == nil {
 		return
 	}
-	now := l.now()
 	state := t.target.Lock()
 	latency, ok := state.stats.Finish(t.token, now, class)
 	if class == replica.Success {
@@ -420,7 +456,10 @@
 	for _, name := range c.Pools {
 		p := (*old)[name]
 		if p == nil {
-			p = &poolState{repeats: retrybudget.NewFleetShare(c.Repeats, 0)}
+			p = &poolState{
+				repeats: retrybudget.NewFleetShare(c.Repeats, 0),
+				limit:   shardlimit.New(shardlimit.DefaultSettings(), l.now()),
+			}
 		}
 		p.mu.Lock()
 		p.repeats.SetSettings(c.Repeats)
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -15,12 +15,18 @@
 	if err != nil {
 		return nil, err
 	}
-	result, err := e.sendOnce(ctx, req)
+	t := &trace{arrival: req.Arrival}
+	result, err := e.sendOnce(ctx, req, t)
+	answered := 1
+	if err != nil {
+		answered = 0
+	}
+	e.logRequest(req, t, answered, 1, err)
 	release(loadResult(nil, err))
 	return result, err
 }
 
-func (e *Engine) sendOnce(ctx context.Context, req *Request) (*Result, error) {
+func (e *Engine) sendOnce(ctx context.Context, req *Request, t *trace) (*Result, error) {
 	chosen, _, ok := req.Work.Choose(e.usable, nil)
 	if !ok {
 		return nil, status.New(status.Unavailable, status.NotRun, "service %s has no snapshot", req.Service).WithRetryAfter(DefaultRetryAfter)
@@ -53,9 +59,11 @@
 			break
 		}
 		tried = append(tried, target)
+		t.began(shard, target, "")
 		reply, err := e.attemptOnce(ctx, req, Attempt{
 			Number: number, Shard: shard, Target: target, Snapshot: chosen.Snapshot, Once: true, Fresh: true,
 		})
+		t.ended(shard, target, err)
 		guarded.attempted(target, err)
 		if err == nil {
 			answered = true
@@ -76,7 +84,7 @@
 }
 
 func (e *Engine) attemptOnce(ctx context.Context, req *Request, a Attempt) (any, error) {
-	token := e.policy.start(req.Service, a.Target)
+	token := e.policy.start(req, a.Shard, a.Target)
 	reply, err := req.Work.Send(ctx, a)
 	e.policy.finish(token, classOf(err))
 	e.metrics.attempt(err)
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -24,7 +24,9 @@
 	// not excluded.
 	pick(targets, exclude []string) (string, bool)
 	// start records an attempt; finish must follow with the returned token.
-	start(service, target string) attemptToken
+	start(req *Request, shard int, target string) attemptToken
+	// free reports whether the shard takes another sub-request.
+	free(req *Request, shard int) bool
 	finish(token attemptToken, class replica.Class)
 	// planned records the primary attempts of one query.
 	planned(req *Request, primaries int)
@@ -56,6 +58,11 @@
 	target  *targetCell
 	service *serviceState
 	token   replica.Token
+	// pool is nil for a request without pools.
+	pool *poolState
+	// useful is the time within which a reply is of use.
+	useful time.Duration
+	began  time.Duration
 }
 
 // classOf says how an attempt ended, for the statistics of its target.
@@ -97,7 +104,8 @@
 	return allowed[rand.IntN(len(allowed))], true
 }
 
-func (*baseline) start(string, string) attemptToken         { return attemptToken{} }
+func (*baseline) free(*Request, int) bool                   { return true }
+func (*baseline) start(*Request, int, string) attemptToken  { return attemptToken{} }
 func (*baseline) finish(attemptToken, replica.Class)        {}
 func (*baseline) planned(*Request, int)                     {}
 func (*baseline) hedgeDelay(*Request) (time.Duration, bool) { return 0, false }
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -34,6 +34,7 @@
 	}
 	q := newQuery(e, req)
 	result, err := q.run(ctx)
+	e.logRequest(req, &q.trace, q.accepted, len(q.subs), err)
 	release(loadResult(q.missing(), err))
 	return result, err
 }
@@ -75,8 +76,9 @@
 	// avoid lists targets that crashed with the request.
 	avoid []string
 	// held lists sub-requests that wait for the end of the trial.
-	held []int
-	safe bool // A target answered this request.
+	held  []int
+	trace trace
+	safe  bool // A target answered this request.
 }
 
 // subRequest is the search of one shard.
@@ -121,7 +123,7 @@
 }
 
 func newQuery(e *Engine, req *Request) *query {
-	return &query{engine: e, req: req, combined: status.NotRun, canary: none, trial: none}
+	return &query{engine: e, req: req, trace: trace{arrival: req.Arrival}, combined: status.NotRun, canary: none, trial: none}
 }
 
 // run returns the answer, or an error whose outcome tells whether any attempt
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -17,6 +17,9 @@
 	ID string
 	// Service is the key of statistics, budgets and admission.
 	Service string
+	// SheetRevision and TargetsRevision are those of the documents that the request
+	// reads, for logs.
+	SheetRevision, TargetsRevision uint64
 	// Contract holds the limits that the service sets.
 	Contract Contract
 	// Arrival is the time at which the request had been read.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,7 +159,7 @@
 	if route == nil {
 		return refusal(status.New(status.NotFound, status.NotRun, "no service of host %.80q has a prefix of the path", req.Host))
 	}
-	core := coreRequest(req, route)
+	core := coreRequest(req, p, route)
 	if !time.Now().Before(core.Deadline) {
 		return refusal(status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed").WithRetryAfter(engine.DefaultRetryAfter))
 	}
@@ -172,7 +172,7 @@
 }
 
 // coreRequest describes a request to the engine.
-func coreRequest(req *relayapi.Request, route *route) *engine.Request {
+func coreRequest(req *relayapi.Request, p *plan, route *route) *engine.Request {
 	svc := route.service
 	wait := time.Duration(svc.Latency.MaxDeadlineMS) * time.Millisecond
 	if req.Wait > 0 {
@@ -194,9 +194,11 @@
 			MaxFanout: svc.Limits.MaxFanout,
 			Linger:    linger,
 		},
-		Arrival:   req.Arrival,
-		Deadline:  req.Arrival.Add(wait),
-		Unlimited: true,
+		Arrival:         req.Arrival,
+		Deadline:        req.Arrival.Add(wait),
+		Unlimited:       true,
+		SheetRevision:   p.sheet.Revision,
+		TargetsRevision: p.targets.Revision,
 	}
 }
 
