Refuse a request before anything is sent when too few shards take it

Cause: with the limit per shard, requests were given up after a part of their attempts had been sent, so the failure could not say that nothing ran (502). Change: the query counts the shards that take it first, and refuses with the outcome NotRun and 100 to 300 ms to come back, spread at random.

--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -164,6 +164,9 @@
 	if n, most := len(chosen.Shards), q.req.Contract.MaxFanout; most > 0 && n > most {
 		return status.New(status.TooLarge, status.NotRun, "the snapshot has %d shards and the sheet allows %d", n, most)
 	}
+	if err := q.servable(chosen); err != nil {
+		return err
+	}
 	for i := range q.subs {
 		q.subs[i].cancel()
 	}
@@ -201,6 +204,34 @@
 	return nil
 }
 
+// Times to come back after a refusal because of overloaded shards. They are spread,
+// so that callers do not return together, and short against the deadlines of
+// seconds, so that callers keep them.
+const (
+	minReturn = 100 * time.Millisecond
+	maxReturn = 300 * time.Millisecond
+)
+
+// servable refuses a request before anything is sent when too few of its shards
+// take it.
+func (q *query) servable(chosen *index.Snapshot) error {
+	if !q.req.Contract.Complete {
+		return nil
+	}
+	n := len(chosen.Shards)
+	open := 0
+	for i, targets := range chosen.Shards {
+		if len(targets) > 0 && q.engine.policy.free(q.req, i) {
+			open++
+		}
+	}
+	if q.req.Contract.Cutoff.Meets(open, n) {
+		return nil
+	}
+	pause := minReturn + time.Duration(rand.Int64N(int64(maxReturn-minReturn)))
+	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause)
+}
+
 func (q *query) isExcluded(s ids.Snapshot) bool {
 	for _, x := range q.excluded {
 		if x == s {
