Read the store at start while peers are asked

Ruled out: slow starts of the process (started within 50 ms). Change: with a lossless platform the reads run beside the questions to peers. TestStartDoesNotWaitForDarkPeers hangs without the change.

--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -68,7 +68,8 @@
 	// 30 s.
 	MaxBackoff time.Duration
 	// Lossless is set for a platform that never goes back to an earlier state. Its
-	// documents are not read as a whole after a failed call.
+	// documents are not read as a whole after a failed call, and a starting entry reads
+	// it while it asks its peers.
 	Lossless bool
 	// SettleKey is a document whose entries may lapse while the platform is away, and
 	// come back shortly after. After an outage longer than SettleOutage the document is
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -113,6 +113,9 @@
 		f.nextWhole = time.Now().Add(max(pause, s.pollPause()))
 	}
 	f.after, f.whole = doc.Version, false
+	if s.cfg.Lossless {
+		s.asked.Store(true)
+	}
 	content, err := delta.New(doc.Value)
 	if err != nil {
 		s.refuseData(f.key, doc.Value, "platform", err)
--- a/internal/configsync/settle_test.go
+++ b/internal/configsync/settle_test.go
@@ -122,3 +122,39 @@
 	is.Equal(<-changes, 0)
 	is.Equal(<-changes, 1)
 }
+
+// darkPeers never answer within a call.
+type darkPeers struct{}
+
+func (darkPeers) Exchange(ctx context.Context, _ string, _ *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	<-ctx.Done()
+	return nil, status.New(status.DeadlineExceeded, status.NotRun, "no answer")
+}
+
+func (darkPeers) Fetch(ctx context.Context, _ string, _ *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	<-ctx.Done()
+	return nil, status.New(status.DeadlineExceeded, status.NotRun, "no answer")
+}
+
+// Guards against a start that waits for peers without power although the platform
+// answers: after a loss of power everywhere it cost a second of service.
+func TestStartDoesNotWaitForDarkPeers(t *testing.T) {
+	is := is.New(t)
+	p := &scriptedPlatform{}
+	p.set(5, twoTargets, false)
+	changes := make(chan int, 16)
+	s := New(Config{
+		Keys: []string{platformapi.TargetsKey}, Entry: "e", Zone: "z", Address: "127.0.0.1:9", Incarnation: ids.NewIncarnation(),
+		Peers: []Peer{{Entry: "dark", Zone: "z", Address: "127.0.0.1:8"}}, CallTimeout: waitBound, StartupTimeout: waitBound, Lossless: true,
+	}, Deps{
+		Platform: p, Peers: darkPeers{}, Audit: audit.New(zerolog.Nop()), Log: zerolog.Nop(), ParseTargets: targetlist.Parse,
+		OnChange: func(v *View) { changes <- len(v.Targets.Targets) },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.Run(ctx) }()
+	is.Equal(<-changes, 2)
+	is.True(s.Ready())
+	cancel()
+	<-done
+}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -30,7 +30,7 @@
 	deps  Deps
 	store *documents.Store
 	view  atomic.Pointer[View]
-	// asked is set once the peers were asked at start.
+	// asked is set once the peers were asked at start, or a lossless platform.
 	asked     atomic.Bool
 	refusals  refusals
 	transfers transferCache
@@ -92,8 +92,13 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { s.notify(ctx) })
-	s.Refresh(ctx)
-	s.asked.Store(true)
+	if s.cfg.Lossless {
+		// The platform's answer is as new as any peer's, and peers may be dark.
+		running.Go(func() { s.Refresh(ctx); s.asked.Store(true) })
+	} else {
+		s.Refresh(ctx)
+		s.asked.Store(true)
+	}
 	for _, key := range s.cfg.Keys {
 		running.Go(func() { s.followPlatform(ctx, key) })
 		running.Go(func() { s.followOffers(ctx, key) })
