Do not count a shard whose targets all refuse connections

Change: a target that refused a connection counts as down for 250 ms when a request asks whether enough shards take it.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -85,7 +85,7 @@
 func (e *Engine) attempt(ctx context.Context, req *Request, results chan<- attemptResult, r attemptResult, a Attempt) {
 	token := e.policy.start(req, a.Shard, r.target)
 	r.reply, r.err = req.Work.Send(ctx, a)
-	e.policy.finish(token, classOf(r.err))
+	e.policy.finish(token, classOf(r.err), refusedConnection(r.err))
 	e.metrics.attempt(r.err)
 	e.noteFailure(r.target, req.ID, r.err)
 	if e.guarded(req) && e.targetCrashed(r.target, r.err) {
@@ -175,6 +175,11 @@
 	}
 }
 
+// refusedConnection reports whether no connection to the target could be opened.
+func refusedConnection(err error) bool {
+	return status.CodeOf(err) == status.ConnectionFailed && status.From(err).Outcome == status.NotRun
+}
+
 // mayHaveArrived reports whether an attempt with this error may have reached its
 // target. A refusal by the target has.
 func mayHaveArrived(err error) bool {
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -63,6 +63,9 @@
 	// replied and repliedAt tell the time of the last reply to an attempt.
 	replied   bool
 	repliedAt time.Duration
+	// refusedUntil is the time until which the target counts as down after it refused a
+	// connection.
+	refusedUntil time.Duration
 }
 
 // serviceState is what this entry knows of one service.
@@ -294,6 +297,22 @@
 	return p.limit.Free()
 }
 
+func (l *loaded) open(targets []string) bool {
+	now := l.now()
+	for _, id := range targets {
+		cell := l.targets.Get(id)
+		if cell == nil || l.leaving.has(id, now) {
+			continue
+		}
+		refused := cell.Lock().refusedUntil
+		cell.Unlock()
+		if now >= refused {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *loaded) start(req *Request, shard int, target string) attemptToken {
 	t := attemptToken{target: l.targets.Get(target), service: l.service(req.Service), began: l.now()}
 	if len(req.Pools) > 1 {
@@ -312,7 +331,11 @@
 	return t
 }
 
-func (l *loaded) finish(t attemptToken, class replica.Class) {
+// refusedPeriod is the time for which a target that refused a connection counts as
+// down before it is tried again for requests that need its shard.
+const refusedPeriod = 250 * time.Millisecond
+
+func (l *loaded) finish(t attemptToken, class replica.Class, refused bool) {
 	now := l.now()
 	if t.pool != nil {
 		took := now - t.began
@@ -329,6 +352,9 @@
 	if class == replica.Success {
 		state.replied, state.repliedAt = true, now
 	}
+	if refused {
+		state.refusedUntil = now + refusedPeriod
+	}
 	switch {
 	case class == replica.Failure:
 		state.failed = true
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -86,7 +86,7 @@
 func (e *Engine) attemptOnce(ctx context.Context, req *Request, a Attempt) (any, error) {
 	token := e.policy.start(req, a.Shard, a.Target)
 	reply, err := req.Work.Send(ctx, a)
-	e.policy.finish(token, classOf(err))
+	e.policy.finish(token, classOf(err), refusedConnection(err))
 	e.metrics.attempt(err)
 	e.noteFailure(a.Target, req.ID, err)
 	return reply, err
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -27,7 +27,10 @@
 	start(req *Request, shard int, target string) attemptToken
 	// free reports whether the shard takes another sub-request.
 	free(req *Request, shard int) bool
-	finish(token attemptToken, class replica.Class)
+	// open reports whether any of the targets may answer: one that has not just refused
+	// a connection.
+	open(targets []string) bool
+	finish(token attemptToken, class replica.Class, refused bool)
 	// planned records the primary attempts of one query.
 	planned(req *Request, primaries int)
 	// hedgeDelay returns the time after which an unanswered sub-request asks
@@ -105,8 +108,9 @@
 }
 
 func (*baseline) free(*Request, int) bool                   { return true }
+func (*baseline) open(targets []string) bool                { return len(targets) > 0 }
 func (*baseline) start(*Request, int, string) attemptToken  { return attemptToken{} }
-func (*baseline) finish(attemptToken, replica.Class)        {}
+func (*baseline) finish(attemptToken, replica.Class, bool)  {}
 func (*baseline) planned(*Request, int)                     {}
 func (*baseline) hedgeDelay(*Request) (time.Duration, bool) { return 0, false }
 func (*baseline) hedge(*Request, int, hedge.Progress) hedge.Decision {
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -221,7 +221,7 @@
 	n := len(chosen.Shards)
 	open := 0
 	for i, targets := range chosen.Shards {
-		if len(targets) > 0 && q.engine.policy.free(q.req, i) {
+		if q.engine.policy.open(targets) && q.engine.policy.free(q.req, i) {
 			open++
 		}
 	}
