Send callers elsewhere from a zone that is cut off and cannot serve

Change: coordination/readiness: an entry that has heard no other zone for 1.5 s and fails most requests of the last second answers the balancer's checks with 503 and asks its open connections to close; it is ready again with the first news.

--- /dev/null
+++ b/coordination/readiness/readiness.go
@@ -0,0 +1,93 @@
+// Package readiness decides whether an entry asks the balancer for new callers. It
+// answers the load of an availability zone that is cut off from the others: its
+// entries cannot reach enough shards, while entries elsewhere can, and callers
+// reach both.
+//
+// An entry that cannot serve is no reason by itself to send callers elsewhere: when
+// targets are down, all entries would turn away. Only an entry that hears no entry
+// of another zone has a reason to believe that others fare better.
+//
+// All times are durations since an arbitrary start that is the same for every
+// call. Nothing here locks: the caller serialises the calls on one Judge.
+package readiness
+
+import "time"
+
+// Settings tunes a Judge.
+type Settings struct {
+	// Silence is the time without news from another zone after which the entry may be
+	// cut off. The default is 1.5 s, three intervals of exchanges.
+	Silence time.Duration
+	// Window is the time over which results count. The default is 1 s.
+	Window time.Duration
+	// FailedPart is the part of the requests without success above which the entry
+	// cannot serve. The default is 0.5.
+	FailedPart float64
+	// MinRequests is the number of requests in a window that proves it. The default is
+	// 4.
+	MinRequests int
+	// Retry is the time after which an entry that turned callers away asks for them
+	// again, whatever it hears. The default is 15 s.
+	Retry time.Duration
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{Silence: 1500 * time.Millisecond, Window: time.Second, FailedPart: 0.5, MinRequests: 4, Retry: 15 * time.Second}
+}
+
+// Judge holds what decides about the readiness of one entry. Create it with New.
+type Judge struct {
+	settings Settings
+	// counts holds the results of the running and of the previous window.
+	counts  [2]struct{ served, failed int }
+	started time.Duration
+	unfit   bool
+	// since is the time at which the entry became unfit.
+	since time.Duration
+}
+
+// New returns a judge of an entry that is fit.
+func New(s Settings, now time.Duration) *Judge { return &Judge{settings: s, started: now} }
+
+// Result counts the end of a request.
+func (j *Judge) Result(now time.Duration, served bool) {
+	j.rotate(now)
+	if served {
+		j.counts[0].served++
+	} else {
+		j.counts[0].failed++
+	}
+}
+
+// Fit reports whether callers should come. heard is the time at which an entry of
+// another zone was last heard; known is false while no other zone is known.
+func (j *Judge) Fit(now, heard time.Duration, known bool) bool {
+	j.rotate(now)
+	silent := known && now-heard > j.settings.Silence
+	switch {
+	case j.unfit && (!silent || now-j.since > j.settings.Retry):
+		j.unfit = false
+		j.counts[0].failed, j.counts[1].failed = 0, 0
+	case !j.unfit && silent && j.failing():
+		j.unfit, j.since = true, now
+	}
+	return !j.unfit
+}
+
+func (j *Judge) failing() bool {
+	served := j.counts[0].served + j.counts[1].served
+	failed := j.counts[0].failed + j.counts[1].failed
+	return served+failed >= j.settings.MinRequests && float64(failed) > j.settings.FailedPart*float64(served+failed)
+}
+
+func (j *Judge) rotate(now time.Duration) {
+	for now-j.started >= j.settings.Window {
+		j.counts[1] = j.counts[0]
+		j.counts[0].served, j.counts[0].failed = 0, 0
+		j.started += j.settings.Window
+		if now-j.started > 2*j.settings.Window {
+			j.started = now - now%j.settings.Window
+		}
+	}
+}
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -203,4 +203,6 @@
 	Draining bool
 	// Listed reports whether the settings or the host list name the entry.
 	Listed bool
+	// Heard is the time at which the entry was last known to live, zero if never.
+	Heard time.Time
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -129,7 +129,7 @@
 	members := make([]Member, len(known))
 	for i, m := range known {
 		members[i] = Member{Entry: m.ID, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation,
-			Alive: m.Alive, Draining: m.Draining, Listed: m.Listed}
+			Alive: m.Alive, Draining: m.Draining, Listed: m.Listed, Heard: m.Heard}
 	}
 	return members
 }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -53,6 +53,9 @@
 	balancerNotice = 2500 * time.Millisecond
 	// stopReserve is kept before the kill for the last answers and the exit.
 	stopReserve = 700 * time.Millisecond
+	// fitnessInterval is the interval at which readiness is decided anew. The balancer
+	// asks once a second.
+	fitnessInterval = 250 * time.Millisecond
 	// stopPoll is the interval at which a stopping entry looks for running requests.
 	stopPoll = 20 * time.Millisecond
 )
@@ -229,6 +232,8 @@
 func (d *RelayDaemon) maintain(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
 	defer tick.Stop()
+	fitness := time.NewTicker(fitnessInterval)
+	defer fitness.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -236,10 +241,24 @@
 		case <-tick.C:
 			d.core.Expire()
 			d.relay.SetEntries(d.entryCount())
+		case <-fitness.C:
+			d.relay.CheckFit(d.otherZoneHeard())
 		}
 	}
 }
 
+// otherZoneHeard returns the time at which an entry of another zone was last heard,
+// zero when none ever was.
+func (d *RelayDaemon) otherZoneHeard() time.Time {
+	var heard time.Time
+	for _, m := range d.syncer.Members() {
+		if m.Zone != d.settings.Zone && m.Heard.After(heard) {
+			heard = m.Heard
+		}
+	}
+	return heard
+}
+
 // entryCount counts this entry and every peer that was ever heard: one that is cut
 // off from this entry still uses its share of connections and repeats.
 func (d *RelayDaemon) entryCount() int {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/balsamstall/balsamstall/coordination/connshare"
 	"github.com/balsamstall/balsamstall/coordination/coverage"
+	"github.com/balsamstall/balsamstall/coordination/readiness"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/relayapi"
@@ -64,11 +65,15 @@
 	sequence atomic.Uint64
 	inflight inflight.Table
 	stopping atomic.Bool
+	fit      atomic.Bool
+	start    time.Time
 	// aborted ends when the entry stops and running requests get their final answer.
 	aborted context.Context
 	abort   context.CancelFunc
 
 	mu sync.Mutex
+	// readiness judges whether callers should come. Guarded by mu.
+	readiness *readiness.Judge
 	// entries is the number of entries that share the targets. Guarded by mu.
 	entries int
 	// draws counts the choices among the parts of each split. Guarded by mu.
@@ -77,7 +82,14 @@
 
 // New returns a relay that refuses requests until SetDocuments was called.
 func New(cfg Config) *Relay {
-	r := &Relay{cfg: cfg, entries: 1, draws: make(map[string]*atomic.Uint64)}
+	r := &Relay{
+		cfg:       cfg,
+		start:     time.Now(),
+		readiness: readiness.New(readiness.DefaultSettings(), 0),
+		entries:   1,
+		draws:     make(map[string]*atomic.Uint64),
+	}
+	r.fit.Store(true)
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	return r
 }
@@ -113,8 +125,31 @@
 	r.cfg.Targets.Configure(p.connectionTargets(), func(t sheet.Target) int { return connshare.Share(t.MaxConnections, entries) })
 }
 
-// Ready reports whether documents are in force and the relay is not stopping.
-func (r *Relay) Ready() bool { return r.plan.Load() != nil && !r.stopping.Load() }
+// Ready reports whether documents are in force, the relay is not stopping and
+// callers are served here as well as elsewhere.
+func (r *Relay) Ready() bool { return r.plan.Load() != nil && !r.stopping.Load() && r.fit.Load() }
+
+// judge counts the result of a request that a target could have served.
+func (r *Relay) judge(a *relayapi.Answer) {
+	if a.Err != nil && a.Err.Code == status.NotFound {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readiness.Result(time.Since(r.start), a.Err == nil)
+}
+
+// CheckFit decides anew whether callers should come. heard is the time at which an
+// entry of another zone was last heard, zero when no other zone is known.
+func (r *Relay) CheckFit(heard time.Time) {
+	r.mu.Lock()
+	fit := r.readiness.Fit(time.Since(r.start), heard.Sub(r.start), !heard.IsZero())
+	r.mu.Unlock()
+	if r.fit.Swap(fit) != fit {
+		r.cfg.Log.Warn().Bool("ready", fit).Time("other_zone_heard", heard).
+			Msg("readiness changed: an entry that hears no other zone and cannot serve sends callers elsewhere")
+	}
+}
 
 // Limits returns the limits of callers in force, zero values before any are known.
 func (r *Relay) Limits() sheet.CallerLimits {
@@ -145,7 +180,8 @@
 	defer cancel()
 	defer context.AfterFunc(r.aborted, cancel)()
 	answer := r.serve(ctx, req)
-	answer.Close = r.stopping.Load()
+	answer.Close = r.stopping.Load() || !r.fit.Load()
+	r.judge(answer)
 	return answer
 }
 
