--- a/protocol/status/http.go
+++ b/protocol/status/http.go
@@ -8,6 +8,7 @@
 	PermissionDenied:   http.StatusForbidden,
 	NotFound:           http.StatusNotFound,
 	TooLarge:           http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	Overloaded:         http.StatusServiceUnavailable,
 	DeadlineExceeded:   http.StatusGatewayTimeout,
 	Canceled:           499,
--- a/protocol/status/status.go
+++ b/protocol/status/status.go
@@ -31,6 +31,7 @@
 	PermissionDenied   Code = "permission_denied"
 	NotFound           Code = "not_found"
 	TooLarge           Code = "too_large"
+	HeaderTooLarge     Code = "header_too_large"
 	Overloaded         Code = "overloaded"
 	DeadlineExceeded   Code = "deadline_exceeded"
 	Canceled           Code = "canceled"
--- /dev/null
+++ b/test/platform/bytes_test.go
@@ -0,0 +1,304 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/balsamstall/balsamstall/platform/platformtest"
+)
+
+// Guards UNASKED: a request whose method, path, query or body a server gets changed,
+// or with headers that a client forged or that concern one connection.
+func TestRequestsReachServersUnchanged(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	a := d.post("/once//a/../b%2f?q=%20x&y", "id-1", "the body", "X-Expect-Instance: forged", "X-Response-Stamp: forged",
+		"X-Not-Executed: 1", "Connection: X-Hop", "X-Hop: 1", "X-Own: kept", "Accept-Encoding: identity", "Te: trailers")
+	is.Equal(a.status, 200)
+	got := d.seen()
+	is.Equal(len(got), 1)
+	r := got[0]
+	is.Equal(r.Method+" "+r.Target+" "+r.Host+" "+r.Body, "POST /once//a/../b%2f?q=%20x&y "+host+" the body")
+	is.Equal(r.Header.Get("X-Expect-Instance"), "i-0-0")
+	is.Equal(r.Header.Get("X-Request-Id"), "id-1")
+	is.Equal(r.Header.Get("X-Own"), "kept")
+	for _, name := range []string{"X-Response-Stamp", "X-Not-Executed", "X-Hop", "Te"} {
+		is.Equal(r.Header.Get(name), "") // name
+	}
+	var left int
+	_, err := fmt.Sscan(r.Header.Get("X-Deadline-Ms"), &left)
+	is.NoErr(err)
+	is.True(left > 0 && left <= long)
+}
+
+// Guards MIXED: an answer with another status, body or signature than the server's.
+func TestAnswersAreTheServersOwn(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	s := d.servers["i-0-0"]
+	for _, code := range []int{200, 201, 404, 409, 500} {
+		s.SetReply(func(r *platformtest.Request) string {
+			return s.Answer(r, code, "whole", "X-Own: kept", "Keep-Alive: timeout=3")
+		})
+		a := d.post("/once/x", "id", "b")
+		is.Equal(a.status, code)
+		is.Equal(a.body, "whole")
+		is.Equal(a.header.Get("X-Own"), "kept")
+		is.Equal(a.header.Get("Keep-Alive"), "")
+		is.True(a.header.Get("X-Response-Stamp") != "")
+	}
+}
+
+// Guards UNASKED and MIXED: framing that could be read in two ways.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	smuggled := "POST /once/smuggled HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 0\r\n\r\n"
+	for name, request := range map[string]string{
+		"two lengths":         "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc" + smuggled,
+		"bad chunk":           "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n" + smuggled,
+		"unknown coding":      "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n" + smuggled,
+		"space before colon":  "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nContent-Length : 3\r\n\r\nabc" + smuggled,
+		"negative length":     "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: -1\r\n\r\n" + smuggled,
+		"two hosts":           "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nHost: other\r\nContent-Length: 0\r\n\r\n",
+		"line feed in header": "POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nX-A: b\rc\r\nContent-Length: 0\r\n\r\n",
+	} {
+		a := d.raw(request)
+		is.True(a.err != nil || a.status >= 400) // name
+		_ = name
+	}
+	for _, r := range d.seen() {
+		is.True(!strings.Contains(r.Target, "smuggled"))
+	}
+}
+
+// Guards UNASKED: a chunked body with a length beside it is passed on with one length.
+func TestChunkedBodiesAreFramedAnew(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	a := d.raw("POST /once/a HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	is.Equal(a.status, 200)
+	got := d.seen()
+	is.Equal(len(got), 1)
+	is.Equal(got[0].Body, "abcde")
+	is.Equal(got[0].Header.Get("Content-Length"), "5")
+}
+
+// Guards against input without end that takes memory or a connection for ever.
+func TestOversizedInputIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	d.sheet.CallerLimits.MaxBodyBytes = 100
+	d.sheet.CallerLimits.MaxHeaderBytes = 2_000
+	d.relay.SetDocuments(d.sheet, d.targets)
+	is.Equal(d.post("/once/a", "id", strings.Repeat("x", 101)).status, 413)
+	is.Equal(d.post("/once/a", "id", strings.Repeat("x", 100)).status, 200)
+	is.Equal(d.get("/one/a", "id", "X-Long: "+strings.Repeat("x", 2_000)).status, 431)
+	is.Equal(d.get("/one/a", "id", "X-Long: "+strings.Repeat("x", 200_000)).status, 431)
+}
+
+// spoiled are replies that are no whole answer of the server.
+var spoiled = map[string]func(s *platformtest.Server, r *platformtest.Request) string{
+	"cut short": func(s *platformtest.Server, r *platformtest.Request) string {
+		return strings.TrimSuffix(s.Answer(r, 200, "whole-body"), "body")
+	},
+	"no answer": func(*platformtest.Server, *platformtest.Request) string { return "" },
+	"no HTTP":   func(*platformtest.Server, *platformtest.Request) string { return "\x00\x01garbage\r\n\r\n" },
+	"bad length": func(*platformtest.Server, *platformtest.Request) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"
+	},
+	"without proof": func(*platformtest.Server, *platformtest.Request) string {
+		return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	},
+	"encoded": func(s *platformtest.Server, r *platformtest.Request) string {
+		return s.Answer(r, 200, "zipped", "Content-Encoding: gzip")
+	},
+	"of another": func(s *platformtest.Server, r *platformtest.Request) string {
+		return s.Answer(other(r), 200, "not yours")
+	},
+	"failure, unasked": func(s *platformtest.Server, r *platformtest.Request) string { return s.Answer(r, 503, "full") },
+}
+
+// other returns a request with another id.
+func other(r *platformtest.Request) *platformtest.Request {
+	o := *r
+	o.Header = r.Header.Clone()
+	o.Header.Set("X-Request-Id", "another")
+	return &o
+}
+
+// Guards MIXED, TWICE and REFUSED: a spoiled reply to a request that may run once at
+// most is no success, and no promise that nothing ran; it is not sent again.
+func TestSpoiledRepliesToRequestsThatRunOnce(t *testing.T) {
+	for name, spoil := range spoiled {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, 3)
+			for _, s := range d.servers {
+				s.SetReply(func(r *platformtest.Request) string {
+					return spoil(s, r)
+				})
+			}
+			if name == "of another" || name == "cut short" {
+				// The connection stays open; the servers end it.
+				time.AfterFunc(300*time.Millisecond, func() {
+					for _, s := range d.servers {
+						s.Close()
+					}
+				})
+			}
+			a := d.post("/once/x", "id", "b")
+			is.Equal(a.status, 502)
+			is.Equal(a.header.Get("X-Response-Stamp"), "")
+			is.Equal(len(d.seen()), 1)
+		})
+	}
+}
+
+// Guards against a spoiled reply that is not made up for where it may be: another
+// server answers.
+func TestSpoiledRepliesAreRetried(t *testing.T) {
+	for name, spoil := range spoiled {
+		if name == "of another" || name == "cut short" {
+			continue // The server goes on and only the deadline or a hedge ends it.
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, 2)
+			var first sync.Once
+			for _, s := range d.servers {
+				s.SetReply(func(r *platformtest.Request) string {
+					raw := s.Answer(r, 200, "whole")
+					first.Do(func() { raw = spoil(s, r) })
+					return raw
+				})
+			}
+			a := d.get("/one/x", "id")
+			is.Equal(a.status, 200)
+			is.Equal(a.body, "whole")
+		})
+	}
+}
+
+// Guards MIXED: a late second answer on a connection is taken for the answer to the
+// next request.
+func TestLateAnswersBelongToNobody(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	s := d.servers["i-0-0"]
+	// The extra answer comes together with the next one, after the entry has looked
+	// whether the idle connection has unread bytes.
+	var mu sync.Mutex
+	var owed string
+	s.SetReply(func(r *platformtest.Request) string {
+		mu.Lock()
+		defer mu.Unlock()
+		id := r.Header.Get("X-Request-Id")
+		raw := owed + s.Answer(r, 200, "for "+id)
+		owed = s.Answer(r, 200, "late for "+id)
+		return raw
+	})
+	for i := range 20 {
+		id := fmt.Sprintf("id-%d", i)
+		a := d.get("/one/x", id)
+		is.Equal(a.status, 200)
+		is.Equal(a.body, "for "+id)
+		is.Equal(a.header.Get("X-Request-Id"), id)
+	}
+}
+
+// Guards MIXED: bytes after a complete answer are read as the next one.
+func TestBytesAfterAnAnswerAreDropped(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	s := d.servers["i-0-0"]
+	s.SetReply(func(r *platformtest.Request) string {
+		return s.Answer(r, 200, "whole") + "HTTP/1.1 200 OK\r\n\r\nextra"
+	})
+	for range 10 {
+		a := d.get("/one/x", "id")
+		is.Equal(a.status, 200)
+		is.Equal(a.body, "whole")
+	}
+}
+
+// Guards against an answer without a length that is refused, and one that is reset on
+// its way and looks complete.
+func TestAnswersWithoutLength(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer lis.Close()
+	d.targets.Revision++
+	d.targets.Targets[0].Address = lis.Addr().String()
+	d.relay.SetDocuments(d.sheet, d.targets)
+	reset := make(chan bool, 1)
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			buffer := make([]byte, 4096)
+			_, _ = c.Read(buffer)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n\r\nthe whole body")
+			if <-reset {
+				time.Sleep(50 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0) // The close is a reset.
+			}
+			c.Close()
+		}
+	}()
+	reset <- false
+	a := d.post("/once/x", "id", "b")
+	is.Equal(a.status, 200)
+	is.Equal(a.body, "the whole body")
+	reset <- true
+	a = d.post("/once/x", "id", "b")
+	is.Equal(a.status, 502)
+}
+
+// Guards UNASKED: the rest of a long body that a server did not wait for is read as
+// another request.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	d.sheet.CallerLimits.MaxBodyBytes = 8 << 20
+	d.relay.SetDocuments(d.sheet, d.targets)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer lis.Close()
+	d.targets.Targets[0].Address = lis.Addr().String()
+	d.relay.SetDocuments(d.sheet, d.targets)
+	conns := make(chan net.Conn, 8)
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			go func() {
+				_, _ = bufio.NewReader(c).ReadString('\n')
+				_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nX-Response-Stamp: s\r\nContent-Length: 4\r\n\r\nlong")
+			}()
+		}
+	}()
+	a := d.post("/once/x", "id", strings.Repeat("x", 6<<20))
+	is.Equal(a.status, 413)
+	is.Equal(a.body, "long")
+	c := <-conns
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	rest, _ := io.ReadAll(c) // The entry closes the connection.
+	is.True(!strings.Contains(string(rest), "HTTP/1.1"))
+}
