Guard targets against relayed requests that crash them

Cause: the crash guard covered searches only. Change: relayed requests have a fingerprint of service, method, target and body. The connection that tells a crash from a lost reply is opened beside the next attempt and the answer, not before them.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -88,14 +88,15 @@
 	e.policy.finish(token, classOf(r.err), refusedConnection(r.err))
 	e.metrics.attempt(r.err)
 	e.noteFailure(r.target, req.ID, r.err)
-	if e.guarded(req) && e.targetCrashed(r.target, r.err) {
-		e.metrics.Crashes.Add(1)
-		r.crashed = true
-		// Recorded here because the query may have ended already.
-		r.refused = e.guard.crashed(req.Fingerprint, r.target, r.alone)
-		e.noteCrash(r.target, req.ID, r.refused)
-		e.spread()
+	if req.Pools != nil {
+		// The next attempt does not wait for the connection that tells a crash from a
+		// lost reply.
+		results <- r
+		e.noteIfCrashed(req, r.target, r.alone, r.err)
+		return
 	}
+	// Recorded here because the query may have ended already.
+	r.crashed, r.refused = e.noteIfCrashed(req, r.target, r.alone, r.err)
 	results <- r
 }
 
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -103,6 +103,19 @@
 	return e.guard != nil && req.Fingerprint != (quarantine.Fingerprint{})
 }
 
+// noteIfCrashed records that a target crashed while it ran a request, if it did. It
+// also reports whether the request is refused from then on.
+func (e *Engine) noteIfCrashed(req *Request, target string, alone bool, err error) (crashed, refused bool) {
+	if !e.guarded(req) || !e.targetCrashed(target, err) {
+		return false, false
+	}
+	e.metrics.Crashes.Add(1)
+	refused = e.guard.crashed(req.Fingerprint, target, alone)
+	e.noteCrash(target, req.ID, refused)
+	e.spread()
+	return true, refused
+}
+
 // noteCrash logs a crash and records a request that is refused because of it.
 func (e *Engine) noteCrash(target, requestID string, refused bool) {
 	e.log.Warn().Str("target", target).Str("request_id", requestID).Bool("refused", refused).Msg("target crashed during an attempt")
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -118,13 +118,11 @@
 
 // attempted takes note of the end of an attempt.
 func (g *onceGuard) attempted(target string, err error) {
-	e := g.engine
-	if e.guarded(g.req) && e.targetCrashed(target, err) {
-		e.metrics.Crashes.Add(1)
-		refused := e.guard.crashed(g.req.Fingerprint, target, g.alone)
-		e.noteCrash(target, g.req.ID, refused)
-		e.spread()
+	if g.req.Pools != nil {
+		go g.engine.noteIfCrashed(g.req, target, g.alone, err) // The answer does not wait.
+		return
 	}
+	g.engine.noteIfCrashed(g.req, target, g.alone, err)
 }
 
 // end reports the end of a run that was allowed alone.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,6 +196,7 @@
 		return refusal(status.New(status.NotFound, status.NotRun, "no service of host %.80q has a prefix of the path", req.Host))
 	}
 	core := coreRequest(req, p, route)
+	core.Fingerprint = r.cfg.Core.Fingerprint(route.relay.Host, route.service.Name, req.Method+" "+req.Target+"\n"+string(req.Body))
 	if !time.Now().Before(core.Deadline) {
 		return refusal(status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed").WithRetryAfter(engine.DefaultRetryAfter))
 	}
--- a/test/platform/bytes_test.go
+++ b/test/platform/bytes_test.go
@@ -265,6 +265,7 @@
 	reset <- true
 	a = d.post("/once/x", "id", "b")
 	is.Equal(a.status, 502)
+	close(reset) // The entry looks whether the server crashed.
 }
 
 // Guards UNASKED: the rest of a long body that a server did not wait for is read as
--- a/test/platform/rules_test.go
+++ b/test/platform/rules_test.go
@@ -174,3 +174,35 @@
 	is.Equal(d.post("/once/x", "id", "b").status, http.StatusServiceUnavailable)
 	is.True(time.Since(began) < long/2*time.Millisecond)
 }
+
+// Guards BUDGET: a request that crashes its servers reaches a few of them and is then
+// refused, although its caller sends it again and again.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	for _, path := range []string{"/one/poison", "/once/poison"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			d := deploy(t, 8)
+			var crashed atomic.Int64
+			for _, s := range d.servers {
+				s.SetReply(func(r *platformtest.Request) string {
+					if strings.HasSuffix(r.Target, "poison") {
+						crashed.Add(1)
+						s.Close()
+						return ""
+					}
+					return s.Answer(r, 200, "whole")
+				})
+			}
+			refused := false
+			for i := 0; i < 20 && !refused; i++ {
+				a := d.post(path, "id", "b")
+				is.True(a.status == 502 || a.status == 503)
+				refused = a.status == 503
+				time.Sleep(20 * time.Millisecond) // The crash is noticed beside the answer.
+			}
+			is.True(refused)
+			is.True(crashed.Load() <= 4)
+			is.Equal(d.post("/once/innocent", "id", "b").status, 200)
+		})
+	}
+}
