--- a/cmd/balsam-entry/main.go
+++ b/cmd/balsam-entry/main.go
@@ -41,8 +41,11 @@
 	}
 	if args.Platform {
 		set := settings.NewRelay()
-		log := start(args, set, &set.LogLevel, os.Stdout)
-		if err := relayPlatform(args.Config, set, log); err != nil {
+		out := newLogWriter(os.Stdout)
+		log := start(args, set, &set.LogLevel, out)
+		err := relayPlatform(args.Config, set, log)
+		out.Close()
+		if err != nil {
 			fail(exitFailed, err)
 		}
 		return
--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -21,6 +21,8 @@
 	Audit  AuditCommand  `cmd:"" help:"Show the audit trail of entries."`
 	Drain  DrainCommand  `cmd:"" help:"Start a planned stop of one entry."`
 	Query  QueryCommand  `cmd:"" help:"Send one search and show the answer and its coverage."`
+	// Explain reads logs and calls no entry.
+	Explain ExplainCommand `cmd:"" help:"Show from a log what was decided about a request."`
 }
 
 // SheetCommands groups the commands on sheet files.
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,189 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// ExplainCommand is "balsam-ctl explain".
+type ExplainCommand struct {
+	File      string `arg:"" help:"Log of one or more entries, one JSON object a line; - reads standard input."`
+	RequestID string `arg:"" help:"Id of the request." name:"request-id"`
+	jsonFlag
+}
+
+// Help implements kong.HelpProvider.
+func (*ExplainCommand) Help() string {
+	return "Examples:\n\n  balsam-ctl explain entry-1.log 9c41d07be2a35f68\n\n  cat *.log | balsam-ctl explain - 9c41d07be2a35f68 --json\n\n" +
+		"Prints what the entries decided about a request in order, the attempts of each shard, and the documents that it read. " +
+		"Text before the first brace of a line is ignored. " + exitCodes
+}
+
+// maxLogLine bounds one line of a log in bytes.
+const maxLogLine = 1 << 20
+
+// logLine is what explain reads of a line. Unknown fields are ignored.
+type logLine struct {
+	Time      string `json:"time"`
+	Entry     string `json:"entry"`
+	Message   string `json:"message"`
+	RequestID string `json:"request_id"`
+	// Fields of a request's line.
+	Service    string `json:"service"`
+	Sheet      uint64 `json:"sheet"`
+	Targets    uint64 `json:"targets"`
+	Answered   int    `json:"answered"`
+	Shards     int    `json:"shards"`
+	TookMS     int64  `json:"took_ms"`
+	GoalMS     int64  `json:"goal_ms"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	RetryMS    int64  `json:"retry_after_ms"`
+	Attempts   string `json:"attempts"`
+	Code       string `json:"code"`
+	Outcome    string `json:"outcome"`
+	// Fields of audit events and of lines about targets.
+	Kind   string `json:"kind"`
+	Actor  string `json:"actor"`
+	Detail string `json:"detail"`
+	Target string `json:"target"`
+}
+
+// decision is one step of an explanation.
+type decision struct {
+	Time  string `json:"time"`
+	Entry string `json:"entry"`
+	Text  string `json:"text"`
+}
+
+// Run runs the command.
+func (c *ExplainCommand) Run(_ context.Context, out cli.Output) error {
+	in := io.Reader(os.Stdin)
+	if c.File != "-" {
+		f, err := os.Open(c.File)
+		if err != nil {
+			return &cli.UsageError{Message: err.Error()}
+		}
+		defer f.Close()
+		in = f
+	}
+	steps, err := explain(in, c.RequestID)
+	if err != nil {
+		return err
+	}
+	if len(steps) == 0 {
+		return status.New(status.NotFound, "", "no line names request %s; requests that were answered in full within their goal have none", c.RequestID)
+	}
+	if c.JSON {
+		return out.JSON(map[string][]decision{"decisions": steps})
+	}
+	for _, s := range steps {
+		fmt.Fprintf(out, "%s %s: %s\n", s.Time, s.Entry, s.Text)
+	}
+	return nil
+}
+
+// explain returns the decisions about a request, in the order of the log. The
+// documents that it read come before its first line.
+func explain(in io.Reader, id string) ([]decision, error) {
+	type version struct {
+		entry, key string
+		revision   uint64
+	}
+	accepted := make(map[version]decision)
+	var steps []decision
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		brace := strings.IndexByte(text, '{')
+		var l logLine
+		if brace < 0 || json.Unmarshal([]byte(text[brace:]), &l) != nil {
+			continue
+		}
+		if l.Kind == "document_accepted" {
+			var v version
+			if n, _ := fmt.Sscanf(l.Detail, "%s revision %d", &v.key, &v.revision); n == 2 {
+				v.entry = l.Entry
+				accepted[v] = decision{l.Time, l.Entry, fmt.Sprintf("%s revision %d came into force, from %s", v.key, v.revision, l.Actor)}
+			}
+			continue
+		}
+		if l.RequestID != id {
+			continue
+		}
+		if l.Message == "request" {
+			for key, revision := range map[string]uint64{"sheet": l.Sheet, "targets": l.Targets} {
+				if d, ok := accepted[version{l.Entry, key, revision}]; ok {
+					steps = append(steps, d)
+				}
+			}
+		}
+		steps = append(steps, l.decisions()...)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, status.Wrap(err, status.InvalidArgument, "", "reading the log")
+	}
+	return steps, nil
+}
+
+// decisions returns the steps that one line tells.
+func (l *logLine) decisions() []decision {
+	if l.Message != "request" {
+		text := l.Message
+		if l.Target != "" {
+			text += ", target " + l.Target
+		}
+		return []decision{{l.Time, l.Entry, text}}
+	}
+	steps := []decision{{l.Time, l.Entry, fmt.Sprintf("service %s with sheet %d and targets %d: goal %d ms, deadline %d ms",
+		l.Service, l.Sheet, l.Targets, l.GoalMS, l.DeadlineMS)}}
+	for attempt := range strings.FieldsSeq(l.Attempts) {
+		steps = append(steps, decision{l.Time, l.Entry, "  " + describeAttempt(attempt)})
+	}
+	text := fmt.Sprintf("answered with %d of %d shards after %d ms", l.Answered, l.Shards, l.TookMS)
+	if l.Code != "" {
+		text = fmt.Sprintf("failed after %d ms: %s, outcome %s, %d of %d shards", l.TookMS, l.Code, l.Outcome, l.Answered, l.Shards)
+		if l.RetryMS > 0 {
+			text += fmt.Sprintf(", come back in %s", time.Duration(l.RetryMS)*time.Millisecond)
+		}
+	}
+	return append(steps, decision{l.Time, l.Entry, text})
+}
+
+// causes says in words why an attempt was made, or none was.
+var causes = map[string]string{
+	"hedge":      "hedge to another target",
+	"retry":      "retry",
+	"no_replica": "no target of the shard may get work",
+	"no_budget":  "the fleet's repeats at this group are used up",
+	"over_limit": "left out: the shard is overloaded or does not answer",
+}
+
+// describeAttempt turns "shard:target@start+duration=code(cause)" into words.
+func describeAttempt(s string) string {
+	shard, rest, _ := strings.Cut(s, ":")
+	target, rest, _ := strings.Cut(rest, "@")
+	rest, cause, _ := strings.Cut(strings.TrimSuffix(rest, ")"), "(")
+	began, result, _ := strings.Cut(rest, "+")
+	if target == "" {
+		return fmt.Sprintf("shard %s at %s ms: %s", shard, began, causes[cause])
+	}
+	text := fmt.Sprintf("shard %s at %s ms: sent to %s", shard, began, target)
+	if cause != "" {
+		text += " (" + causes[cause] + ")"
+	}
+	if result == "?" {
+		return text + ", no reply by the end"
+	}
+	took, code, _ := strings.Cut(result, "=")
+	return fmt.Sprintf("%s, %s after %s ms", text, code, took)
+}
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -77,6 +77,7 @@
 	self     Identity
 	log      zerolog.Logger
 	metrics  *Metrics
+	answers  relay.Metrics
 	audit    *audit.Trail
 	core     *engine.Engine
 	relay    *relay.Relay
@@ -111,6 +112,7 @@
 	})
 	d.relay = relay.New(relay.Config{
 		Core:    d.core,
+		Metrics: &d.answers,
 		Targets: targets,
 		Log:     d.log,
 		Repeats: retrybudget.FleetSettings{
@@ -216,6 +218,7 @@
 	running.Go(func() { d.maintain(ctx) })
 	running.Go(func() { d.watchSettings(ctx, path) })
 	d.metrics.Publish()
+	d.answers.Publish()
 	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
 	err := d.app.Run()
 	cancel()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,7 @@
 // Config holds the parts of a relay.
 type Config struct {
 	Core    *engine.Engine
+	Metrics *Metrics
 	Targets Targets
 	Log     zerolog.Logger
 	// Repeats bounds the repeats at one target group for the whole fleet.
@@ -129,11 +130,29 @@
 // callers are served here as well as elsewhere.
 func (r *Relay) Ready() bool { return r.plan.Load() != nil && !r.stopping.Load() && r.fit.Load() }
 
-// judge counts the result of a request that a target could have served.
-func (r *Relay) judge(a *relayapi.Answer) {
+// count counts the result of a request for metrics and, if a target could have
+// served it, for readiness.
+func (r *Relay) count(a *relayapi.Answer, took time.Duration) {
+	m := r.cfg.Metrics
+	switch {
+	case a.Merged != nil:
+		m.Merged.Add(1)
+		if a.Merged.Missing > 0 {
+			m.Partial.Add(1)
+		}
+	case a.Reply != nil:
+		m.Passed.Add(1)
+	case a.Err.Outcome == status.NotRun:
+		m.Refused.Add(1)
+	default:
+		m.Failed.Add(1)
+	}
 	if a.Err != nil && a.Err.Code == status.NotFound {
 		return
 	}
+	if a.Err == nil {
+		m.observe(a.Service, took)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.readiness.Result(time.Since(r.start), a.Err == nil)
@@ -181,7 +200,7 @@
 	defer context.AfterFunc(r.aborted, cancel)()
 	answer := r.serve(ctx, req)
 	answer.Close = r.stopping.Load() || !r.fit.Load()
-	r.judge(answer)
+	r.count(answer, time.Since(req.Arrival))
 	return answer
 }
 
@@ -246,7 +265,7 @@
 	if _, err := r.cfg.Core.Run(ctx, core); err != nil {
 		return refusal(status.From(err))
 	}
-	return &relayapi.Answer{Merged: w.merged()}
+	return &relayapi.Answer{Service: core.Service, Merged: w.merged()}
 }
 
 // pass answers with the reply of one target.
@@ -260,11 +279,11 @@
 	}
 	_, err := run(ctx, core)
 	if err == nil {
-		return &relayapi.Answer{Reply: w.reply}
+		return &relayapi.Answer{Service: core.Service, Reply: w.reply}
 	}
 	var failed *relayapi.Failure
 	if errors.As(err, &failed) && passable(failed.Reply.Status) {
-		return &relayapi.Answer{Reply: failed.Reply}
+		return &relayapi.Answer{Service: core.Service, Reply: failed.Reply}
 	}
 	return refusal(status.From(err))
 }
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -78,6 +78,9 @@
 			Allowed: fmt.Sprintf("at most %d bytes", MaxSize),
 		}}}
 	}
+	if path, ok := DuplicateKey(data); ok {
+		return &Error{Kind: kind, Faults: []Fault{{Path: path, Value: "given twice", Allowed: "a key that is given once"}}}
+	}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(dst); err != nil {
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -56,6 +56,8 @@
 
 // Answer is what a caller gets. Exactly one of Reply, Merged and Err is set.
 type Answer struct {
+	// Service names the service that answered, empty for an error.
+	Service string
 	// Reply is a target's reply, to be passed on unchanged.
 	Reply  *Reply
 	Merged *Merged
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -140,6 +140,9 @@
 	case err != nil:
 		return status.Wrap(err, status.InvalidArgument, status.NotRun, "the body did not arrive in full")
 	}
+	if path, ok := document.DuplicateKey(data); ok {
+		return status.New(status.InvalidArgument, status.NotRun, "the body is not a valid search request: %s is given twice", path)
+	}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(dst); err != nil {
