--- a/cmd/balsam-entry/platform.go
+++ b/cmd/balsam-entry/platform.go
@@ -20,8 +20,13 @@
 // harder. The rest is for stacks and for bytes that wait in sockets.
 const memoryShare = 0.7
 
+// collectAt is the growth of the heap in percent at which garbage is collected.
+// Memory has a price on these machines, and processors have time.
+const collectAt = 50
+
 // relayPlatform serves the users' platform with the settings of the file at path.
 func relayPlatform(path string, set *settings.Relay, log zerolog.Logger) error {
+	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB<<20)))
 	documents, err := store.New(set.PlatformAddress, log)
 	if err != nil {
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -71,6 +71,15 @@
 	// documents are not read as a whole after a failed call, and a starting entry reads
 	// it while it asks its peers.
 	Lossless bool
+	// WatchGrace is the time after the start in which an entry that the settings do not
+	// name as a peer leaves watching to those that they name. A fleet that starts would
+	// else watch as a whole until its entries know each other. The default is 0.
+	WatchGrace time.Duration
+	// Named is set when the settings of the others name this entry.
+	Named bool
+	// YieldAfter is the time of failed calls to the platform after which a watcher leaves
+	// the role to others for YieldFor. Zero keeps it.
+	YieldAfter, YieldFor time.Duration
 	// SettleKey is a document whose entries may lapse while the platform is away, and
 	// come back shortly after. After an outage longer than SettleOutage the document is
 	// taken over only SettleTime after the platform's return. Empty for none.
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -45,7 +45,7 @@
 		Entry:       self.ID,
 		Incarnation: self.Incarnation[:],
 		Zone:        self.Zone,
-		Draining:    self.Draining,
+		Draining:    self.Draining || now.Before(s.yieldedUntil),
 		Address:     self.Address,
 		Quarantines: someFacts(s.rng, facts.Quarantines),
 		Crashes:     someFacts(s.rng, facts.Crashes),
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -76,6 +76,9 @@
 			if f.failing.IsZero() {
 				f.failing = began
 			}
+			if s.cfg.YieldFor > 0 && time.Since(f.failing) >= s.cfg.YieldAfter && status.CodeOf(err) != status.NotFound {
+				s.yield()
+			}
 			// The platform may come back with an earlier state.
 			f.whole = f.whole || watching && !s.cfg.Lossless
 			s.pausePlatform(ctx, f, err)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -43,10 +43,13 @@
 	// viewMu serializes updates of view.
 	viewMu sync.Mutex
 
-	// mu guards table and rng.
+	// mu guards the fields below.
 	mu    sync.Mutex
 	table *membership.Table
 	rng   *rand.Rand
+	// yieldedUntil is the time until which this entry leaves the watcher role to others.
+	yieldedUntil time.Time
+	started      time.Time
 }
 
 // New returns a Syncer without documents. Run must be called once.
@@ -66,7 +69,8 @@
 			Interval:        cfg.ExchangeInterval,
 			Expiry:          cfg.MemberExpiry,
 		}),
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		started: time.Now(),
 	}
 	for _, key := range cfg.Keys {
 		s.offers[key] = &offerQueue{signal: make(chan struct{}, 1)}
@@ -136,9 +140,27 @@
 
 // Watching reports whether this entry has the role of a watcher of the platform.
 func (s *Syncer) Watching() bool {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Watcher(time.Now())
+	if now.Before(s.yieldedUntil) || !s.cfg.Named && now.Sub(s.started) < s.cfg.WatchGrace {
+		return false
+	}
+	return s.table.Watcher(now)
+}
+
+// yield leaves the watcher role to others for a while, because this entry cannot
+// read the platform. They learn it as if this entry was stopping.
+func (s *Syncer) yield() {
+	now := time.Now()
+	s.mu.Lock()
+	yielded := now.Before(s.yieldedUntil)
+	s.yieldedUntil = now.Add(s.cfg.YieldFor)
+	s.mu.Unlock()
+	if !yielded {
+		s.deps.Log.Warn().Dur("for", s.cfg.YieldFor).Msg("the platform cannot be read; leaving the watcher role to others")
+		s.Spread()
+	}
 }
 
 // SetDraining tells the peers, with the next exchanges, that this entry is in a
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,14 @@
 	// of a change; the next one does, in time for the 3 s within which it must be in
 	// force. Each call has a price.
 	relayWatchWait = 1500 * time.Millisecond
+	// relayWatchGrace covers the exchanges in which the entries of a starting fleet get to
+	// know each other.
+	relayWatchGrace = 2 * time.Second
+	// relayYieldAfter lets another entry take the watcher role over within the 3 s in
+	// which a change must be in force; relayYieldFor bounds the calls of entries that the
+	// platform turns away.
+	relayYieldAfter = 300 * time.Millisecond
+	relayYieldFor   = 4 * time.Second
 	// relaySettleOutage is shorter than the three heartbeats of 1.2 s after which the
 	// store removes a silent target.
 	relaySettleOutage = 3 * time.Second
@@ -142,6 +151,10 @@
 		WatchWait:        relayWatchWait,
 		MaxBackoff:       relayMaxBackoff,
 		Lossless:         true,
+		Named:            slices.Contains(set.Seeds, set.PeerAddress),
+		WatchGrace:       relayWatchGrace,
+		YieldAfter:       relayYieldAfter,
+		YieldFor:         relayYieldFor,
 		SettleKey:        platformapi.TargetsKey,
 		SettleOutage:     relaySettleOutage,
 		SettleTime:       relaySettleTime,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,10 +28,10 @@
 
 const (
 	// reservePart and minReserve are kept before the latency goal for the way to the
-	// caller and for merging: 12% of the goal, at least 8 ms. Callers are up to 3 ms
-	// away one way and may open a connection first.
+	// caller and for merging: 12% of the goal, at least 14 ms. Callers are up to 3 ms
+	// away one way; one that opens a connection first needs two round trips.
 	reservePart = 0.12
-	minReserve  = 8 * time.Millisecond
+	minReserve  = 14 * time.Millisecond
 	// linger lets the slower of two attempts finish, which keeps its connection. It
 	// covers the 150 ms for which targets pause, and stays within the half second in
 	// which work for a caller that left must end.
