Take a list without a quarter of the targets for a lapse

Change: a list that lacks more than a quarter of the targets that were not leaving is settled like one after an outage.

--- a/protocol/targetlist/targetlist.go
+++ b/protocol/targetlist/targetlist.go
@@ -37,6 +37,24 @@
 	Cold bool `json:"cold,omitempty"`
 }
 
+// Vanished counts the targets that are not leaving, and those of them that a later
+// list no longer has.
+func (d *Document) Vanished(later *Document) (gone, total int) {
+	have := make(map[string]bool, len(later.Targets))
+	for i := range later.Targets {
+		have[later.Targets[i].ID] = true
+	}
+	for i := range d.Targets {
+		if t := &d.Targets[i]; !t.Leaving {
+			total++
+			if !have[t.ID] {
+				gone++
+			}
+		}
+	}
+	return gone, total
+}
+
 // maxSlots bounds the slots of one target.
 const maxSlots = 10_000
 
