Connect to a subset of a group's targets within their caps

Cause: with 68 entries and a cap of 66, one connection from each entry is over the cap. Change: connshare.Subset: own zone first, then rendezvous hash; other targets are used when those are tried or held. A connection that a target closes before its first reply starts the backoff of dials. A newcomer is told of all members with one exchange, and assumes at least 30 entries in its first second.

--- a/coordination/membership/choice.go
+++ b/coordination/membership/choice.go
@@ -145,11 +145,31 @@
 		rest := slices.DeleteFunc(alive, func(m *member) bool { return slices.Contains(top, m) })
 		alive = append(top, pick(rng, rest, sampleSize-len(top))...)
 	}
-	sample := make([]Member, len(alive))
-	for i, m := range alive {
-		sample[i] = Member{Entry: m.Entry, Alive: true, Listed: m.sources != 0, Heard: m.heard}
+	return described(alive)
+}
+
+// maxIntroduction bounds an introduction to about 8 KB.
+const maxIntroduction = 120
+
+// Introduction returns the live members of which an entry is told that knows few, at
+// most 120 at random.
+func (t *Table) Introduction(now time.Time, rng *rand.Rand) []Member {
+	since := t.aliveSince(now)
+	var alive []*member
+	for _, m := range t.order {
+		if m.aliveSince(since) {
+			alive = append(alive, m)
+		}
+	}
+	return described(pick(rng, alive, maxIntroduction))
+}
+
+func described(members []*member) []Member {
+	out := make([]Member, len(members))
+	for i, m := range members {
+		out[i] = Member{Entry: m.Entry, Alive: true, Listed: m.sources != 0, Heard: m.heard}
 	}
-	return sample
+	return out
 }
 
 // topOfZone returns the watchers of the own zone and their successors.
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -416,7 +416,7 @@
 				Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Incarnation: ids.NewIncarnation()})
 		}
 		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
-			in := s.message(true)
+			in := s.message(true, false)
 			in.Entry = "entry-0001"
 			for b.Loop() {
 				if _, err := s.HandleExchange(context.Background(), in); err != nil {
@@ -424,7 +424,7 @@
 				}
 			}
 			b.ReportMetric(float64(proto.Size(in)), "message-bytes")
-			b.ReportMetric(float64(proto.Size(s.message(false))), "push-bytes")
+			b.ReportMetric(float64(proto.Size(s.message(false, false))), "push-bytes")
 		})
 	}
 }
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -20,7 +20,11 @@
 	// of maxFacts is chosen at random from the others.
 	newestFacts = maxFacts / 2
 	// maxMembersTaken bounds the members that are read from one message.
-	maxMembersTaken = 64
+	maxMembersTaken = 128
+	// newcomerKnows is the number of live entries below which a caller counts as a
+	// newcomer, which is told of all members at once. It needs the size of the fleet to
+	// know its share of connections.
+	newcomerKnows = 8
 	// refreshPeers is the number of peers that Refresh asks.
 	refreshPeers = 8
 	// maxAnnounced bounds the peers that Announce calls.
@@ -32,7 +36,7 @@
 // message returns what this entry tells a peer. News of members are left out of
 // pushes: at 50,000 changes a day they would take a third of the 11 KB/s that an
 // entry may use.
-func (s *Syncer) message(members bool) *peerpb.ExchangeRequest {
+func (s *Syncer) message(members, newcomer bool) *peerpb.ExchangeRequest {
 	var facts FactSet
 	if s.deps.Facts != nil {
 		facts = s.deps.Facts.Collect()
@@ -60,7 +64,11 @@
 	if !members {
 		return m
 	}
-	for _, k := range s.table.Sample(now, s.rng) {
+	sample := s.table.Sample
+	if newcomer {
+		sample = s.table.Introduction
+	}
+	for _, k := range sample(now, s.rng) {
 		m.Members = append(m.Members, &peerpb.Member{Entry: k.ID, Zone: k.Zone, Address: k.Address,
 			Incarnation: k.Incarnation[:], Draining: k.Draining, AgeMs: now.Sub(k.Heard).Milliseconds()})
 	}
@@ -166,7 +174,7 @@
 	// A caller that has documents and sends no members pushes; one that has
 	// neither starts and needs to know the members.
 	push := len(in.Members) == 0 && len(in.Documents) > 0
-	m := s.message(!push)
+	m := s.message(!push, len(in.Members) < newcomerKnows)
 	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
 		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
 		Successions: m.Successions, Address: m.Address, Members: m.Members}, nil
@@ -177,7 +185,7 @@
 func (s *Syncer) exchange(ctx context.Context, peer membership.Entry, members bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
-	reply, err := s.deps.Peers.Exchange(ctx, peer.Address, s.message(members))
+	reply, err := s.deps.Peers.Exchange(ctx, peer.Address, s.message(members, false))
 	if err == nil {
 		s.learn(reply, peer.Address)
 	}
--- a/internal/configsync/settle_test.go
+++ b/internal/configsync/settle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -175,3 +176,25 @@
 	cancel()
 	<-done
 }
+
+// Guards against an entry that takes a large fleet for small for seconds after its
+// start, and opens more connections to targets than its share.
+func TestNewcomerLearnsTheFleetAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Entry: "e", Zone: "z", Address: "127.0.0.1:9", Incarnation: ids.NewIncarnation()},
+		Deps{Platform: &scriptedPlatform{}, Peers: noPeers{}, Audit: audit.New(zerolog.Nop()), Log: zerolog.Nop()})
+	for i := range 90 {
+		inc := ids.NewIncarnation()
+		_, err := s.HandleExchange(t.Context(), &peerpb.ExchangeRequest{Entry: fmt.Sprintf("old-%d", i), Zone: "z", Address: "127.0.0.1:1", Incarnation: inc[:]})
+		is.NoErr(err)
+	}
+	inc := ids.NewIncarnation()
+	reply, err := s.HandleExchange(t.Context(), &peerpb.ExchangeRequest{Entry: "new", Zone: "z", Address: "127.0.0.1:2", Incarnation: inc[:]})
+	is.NoErr(err)
+	is.True(len(reply.Members) >= 90)
+	known := make([]*peerpb.Member, 8)
+	copy(known, reply.Members)
+	reply, err = s.HandleExchange(t.Context(), &peerpb.ExchangeRequest{Entry: "new", Zone: "z", Address: "127.0.0.1:2", Incarnation: inc[:], Members: known})
+	is.NoErr(err)
+	is.True(len(reply.Members) <= 12) // Bounded afterwards.
+}
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// choose picks a target of a shard: one to which this entry keeps connections, or
+// another one when those are tried or failed lately.
+func (e *Engine) choose(req *Request, targets []string, shard int, exclude []string) (string, bool) {
+	target, held, ok := e.policy.pick(targets, exclude)
+	if ok && !held || req.Others == nil {
+		return target, ok
+	}
+	other, otherHeld, found := e.policy.pick(req.Others[shard], exclude)
+	if found && (!ok || !otherHeld) {
+		return other, true
+	}
+	return target, ok
+}
+
 // launch sends an attempt of a sub-request to a target that was not tried yet.
 func (q *query) launch(i int, cause string) bool {
 	s := &q.subs[i]
@@ -59,7 +73,7 @@
 	if len(q.avoid) > 0 {
 		exclude = slices.Concat(s.tried, q.avoid)
 	}
-	target, ok := q.engine.policy.pick(q.snapshot.Shards[s.shard], exclude)
+	target, ok := q.engine.choose(q.req, q.snapshot.Shards[s.shard], s.shard, exclude)
 	if !ok {
 		return false
 	}
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -243,7 +243,7 @@
 func (globalRand) IntN(n int) int   { return rand.IntN(n) }
 func (globalRand) Float64() float64 { return rand.Float64() }
 
-func (l *loaded) pick(ids, exclude []string) (string, bool) {
+func (l *loaded) pick(ids, exclude []string) (string, bool, bool) {
 	now := l.now()
 	var buffer [maxReplicas]replica.Candidate
 	var cells [maxReplicas]*targetCell
@@ -275,9 +275,11 @@
 		return cell.Lock().stats.Score(now)
 	})
 	if !ok {
-		return "", false
+		return "", false, false
 	}
-	return ids[(first+i)%len(ids)], true
+	held := cells[i].Lock().stats.Score(now).Held
+	cells[i].Unlock()
+	return ids[(first+i)%len(ids)], held, true
 }
 
 // usefulPart is the part of the time to the cutoff within which a reply shows that
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -46,11 +46,11 @@
 	tried, arrived := guarded.avoid, false
 	var last error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
 	for number := uint32(1); number <= maxAttempts; number++ {
-		target, ok := e.policy.pick(chosen.Shards[shard], tried)
+		target, ok := e.choose(req, chosen.Shards[shard], shard, tried)
 		if !ok && number == 1 {
 			// Every replica crashed with this request before. The crash guard bounds
 			// how often it may run here again.
-			target, ok = e.policy.pick(chosen.Shards[shard], nil)
+			target, ok = e.choose(req, chosen.Shards[shard], shard, nil)
 		}
 		if !ok {
 			break
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -221,6 +221,9 @@
 	n := len(chosen.Shards)
 	open := 0
 	for i, targets := range chosen.Shards {
+		if q.req.Others != nil {
+			targets = q.req.Others[i]
+		}
 		if q.engine.policy.open(targets) && q.engine.policy.free(q.req, i) {
 			open++
 		}
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -35,6 +35,9 @@
 	// Pools names the target group of each shard, whose repeats are bounded for the
 	// whole fleet. Nil charges repeats to the budgets of the service.
 	Pools []string
+	// Others lists, for each shard, all targets of its group. They are used when those
+	// of the snapshot, to which the entry keeps connections, do not answer. May be nil.
+	Others [][]string
 	// Unlimited keeps the request out of admission control.
 	Unlimited bool
 	// Work is what the way in does with attempts and replies.
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -31,9 +31,6 @@
 const (
 	// seedPrefix begins the id of an entry that is known by its address only.
 	seedPrefix = "seed@"
-	// unknownFleet is the number of entries that is assumed while none is known. It
-	// exceeds the fleets of today.
-	unknownFleet = 100
 	// relayWatchWait is how long a watch of the store waits. A watch may hear nothing
 	// of a change; the next one does, in time for the 3 s within which it must be in
 	// force. Each call has a price.
@@ -62,8 +59,8 @@
 	balancerNotice = 2500 * time.Millisecond
 	// stopReserve is kept before the kill for the last answers and the exit.
 	stopReserve = 700 * time.Millisecond
-	// fitnessInterval is the interval at which readiness is decided anew. The balancer
-	// asks once a second.
+	// fitnessInterval is the interval at which readiness and the number of entries are
+	// decided anew. The balancer asks once a second.
 	fitnessInterval = 250 * time.Millisecond
 	// stopPoll is the interval at which a stopping entry looks for running requests.
 	stopPoll = 20 * time.Millisecond
@@ -120,6 +117,7 @@
 		Audit:    d.audit,
 	})
 	d.relay = relay.New(relay.Config{
+		Self:    d.self,
 		Core:    d.core,
 		Metrics: &d.answers,
 		Targets: targets,
@@ -130,7 +128,7 @@
 			Window:  seconds(set.RepeatWindowS),
 		},
 	})
-	d.relay.SetEntries(unknownFleet)
+	d.relay.SetEntries(relay.UnknownEntries)
 	d.wireSync(ports.Documents)
 	return d, d.wireServers(ports)
 }
@@ -256,8 +254,8 @@
 			return
 		case <-tick.C:
 			d.core.Expire()
-			d.relay.SetEntries(d.entryCount())
 		case <-fitness.C:
+			d.relay.SetEntries(d.entryCount())
 			d.relay.CheckFit(d.otherZoneHeard())
 		}
 	}
@@ -285,7 +283,7 @@
 		}
 	}
 	if n == 1 && len(d.settings.Seeds) > 1 {
-		return unknownFleet
+		return relay.UnknownEntries
 	}
 	return n
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/balsamstall/balsamstall/coordination/connshare"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
@@ -20,24 +21,30 @@
 	targets *targetlist.Document
 	// routes holds the services of each host, the longest prefix first.
 	routes map[string][]*route
-	// groups holds the targets that may get new work.
-	groups map[string][]string
+	// groups holds the targets that may get new work, and subsets those of them to which
+	// this entry keeps connections.
+	groups, subsets map[string][]string
+	// shares holds the connections that this entry may hold to each target of a group.
+	shares map[string]int
 }
 
 // route is one relayed service of a plan.
 type route struct {
 	service *sheet.Service
 	relay   *sheet.Relay
-	// layout lists the targets of each shard. Nil for a split.
+	// layout lists the targets of each shard to which this entry keeps connections, and
+	// others all targets. Nil for a split.
 	layout *index.Snapshot
-	// parts lists the layout of each part of a split.
-	parts []*index.Snapshot
+	others [][]string
+	// parts lists the layout of each part of a split, partOthers all its targets.
+	parts      []*index.Snapshot
+	partOthers [][][]string
 	// draws counts the choices among the parts.
 	draws *atomic.Uint64
 }
 
 // newPlan indexes the documents. draws keeps the counters of splits over plans.
-func newPlan(s *sheet.Sheet, t *targetlist.Document, draws map[string]*atomic.Uint64) *plan {
+func newPlan(s *sheet.Sheet, t *targetlist.Document, self engine.Identity, entries int, draws map[string]*atomic.Uint64) *plan {
 	p := &plan{
 		sheet:   s,
 		targets: t,
@@ -49,6 +56,7 @@
 			p.groups[target.Group] = append(p.groups[target.Group], target.ID)
 		}
 	}
+	p.chooseSubsets(self, entries)
 	for i := range s.Services {
 		if s.Services[i].Relay != nil {
 			p.addRoute(&s.Services[i], draws)
@@ -65,10 +73,11 @@
 func (p *plan) addRoute(svc *sheet.Service, draws map[string]*atomic.Uint64) {
 	r := &route{service: svc, relay: svc.Relay}
 	if len(r.relay.Shards) > 0 {
-		r.layout = p.snapshot(r.relay.Shards...)
+		r.layout, r.others = p.snapshot(r.relay.Shards...)
 	} else {
 		for _, part := range r.relay.Split {
-			r.parts = append(r.parts, p.snapshot(part.Group))
+			layout, others := p.snapshot(part.Group)
+			r.parts, r.partOthers = append(r.parts, layout), append(r.partOthers, others)
 		}
 		if draws[svc.Name] == nil {
 			draws[svc.Name] = new(atomic.Uint64)
@@ -80,12 +89,13 @@
 }
 
 // snapshot lists the targets of groups as the shards of this version of the sheet.
-func (p *plan) snapshot(groups ...string) *index.Snapshot {
-	snap := &index.Snapshot{Snapshot: ids.Snapshot{IndexVersion: p.sheet.Revision, ShardMapEpoch: 1}}
+func (p *plan) snapshot(groups ...string) (snap *index.Snapshot, others [][]string) {
+	snap = &index.Snapshot{Snapshot: ids.Snapshot{IndexVersion: p.sheet.Revision, ShardMapEpoch: 1}}
 	for _, g := range groups {
-		snap.Shards = append(snap.Shards, p.groups[g])
+		snap.Shards = append(snap.Shards, p.subsets[g])
+		others = append(others, p.groups[g])
 	}
-	return snap
+	return snap, others
 }
 
 // find returns the route of a request: the longest prefix of its host that begins
@@ -146,16 +156,32 @@
 	return c
 }
 
-// connectionTargets lists the targets with the caps on their connections.
-func (p *plan) connectionTargets() []sheet.Target {
-	caps := make(map[string]int, len(p.sheet.Groups))
+// chooseSubsets chooses the targets of each group to which this entry keeps
+// connections, so that all entries together stay within the caps.
+func (p *plan) chooseSubsets(self engine.Identity, entries int) {
+	members := make(map[string][]connshare.Member, len(p.groups))
+	for i := range p.targets.Targets {
+		if t := &p.targets.Targets[i]; !t.Leaving {
+			members[t.Group] = append(members[t.Group], connshare.Member{ID: t.ID, Local: t.Zone == self.Zone})
+		}
+	}
+	p.subsets = make(map[string][]string, len(p.groups))
+	p.shares = make(map[string]int, len(p.groups))
 	for i := range p.sheet.Groups {
-		caps[p.sheet.Groups[i].Name] = p.sheet.Groups[i].MaxConnections
+		g := &p.sheet.Groups[i]
+		group := members[g.Name]
+		size := connshare.SubsetSize(g.MaxConnections, len(group), entries)
+		p.subsets[g.Name] = connshare.Subset(self.Entry, group, size)
+		p.shares[g.Name] = connshare.SubsetShare(g.MaxConnections, len(group), size, entries)
 	}
+}
+
+// connectionTargets lists the targets with this entry's share of their connections.
+func (p *plan) connectionTargets() []sheet.Target {
 	list := make([]sheet.Target, 0, len(p.targets.Targets))
 	for i := range p.targets.Targets {
 		t := &p.targets.Targets[i]
-		if most := caps[t.Group]; most > 0 {
+		if most := p.shares[t.Group]; most > 0 {
 			list = append(list, sheet.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, Slots: t.Slots, MaxConnections: most})
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,7 +13,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/balsamstall/balsamstall/coordination/connshare"
 	"github.com/balsamstall/balsamstall/coordination/coverage"
 	"github.com/balsamstall/balsamstall/coordination/readiness"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
@@ -26,7 +25,18 @@
 	"github.com/balsamstall/balsamstall/transport/targethttp"
 )
 
+// UnknownEntries is the number of entries that is assumed for repeats while no other
+// entry is known. It exceeds the fleets of today.
+const UnknownEntries = 100
+
 const (
+	// startEntries is the least number of entries that share connections in the first
+	// startPeriod of the process. News of other entries take that long to arrive, and
+	// an entry that takes the fleet for small connects to more targets, with more
+	// connections, than there are places. Other targets are still used when those do not
+	// answer.
+	startEntries = 30
+	startPeriod  = time.Second
 	// reservePart and minReserve are kept before the latency goal for the way to the
 	// caller and for merging: 12% of the goal, at least 14 ms. Callers are up to 3 ms
 	// away one way; one that opens a connection first needs two round trips.
@@ -51,6 +61,7 @@
 
 // Config holds the parts of a relay.
 type Config struct {
+	Self    engine.Identity
 	Core    *engine.Engine
 	Metrics *Metrics
 	Targets Targets
@@ -77,6 +88,8 @@
 	readiness *readiness.Judge
 	// entries is the number of entries that share the targets. Guarded by mu.
 	entries int
+	// sharing is the number that the plan in force was made with. Guarded by mu.
+	sharing int
 	// draws counts the choices among the parts of each split. Guarded by mu.
 	draws map[string]*atomic.Uint64
 }
@@ -99,22 +112,38 @@
 func (r *Relay) SetDocuments(s *sheet.Sheet, t *targetlist.Document) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := newPlan(s, t, r.draws)
-	r.publish(p)
-	r.plan.Store(p)
+	r.replan(s, t)
 }
 
-// SetEntries tells how many entries share the connections to the targets.
+// SetEntries tells how many entries share the connections to the targets. It is
+// called again and again.
 func (r *Relay) SetEntries(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.entries == n {
+	if r.entries == n && r.sharing == r.sharers() {
 		return
 	}
 	r.entries = n
 	if p := r.plan.Load(); p != nil {
-		r.publish(p)
+		r.replan(p.sheet, p.targets)
+	}
+}
+
+// replan puts a plan of the documents in force. mu must be held.
+func (r *Relay) replan(s *sheet.Sheet, t *targetlist.Document) {
+	r.sharing = r.sharers()
+	p := newPlan(s, t, r.cfg.Self, r.sharing, r.draws)
+	r.publish(p)
+	r.plan.Store(p)
+}
+
+// sharers returns the number of entries that share the connections to targets. mu
+// must be held.
+func (r *Relay) sharers() int {
+	if time.Since(r.start) < startPeriod && r.entries > 1 {
+		return max(r.entries, startEntries)
 	}
+	return r.entries
 }
 
 // publish tells the engine and the connections about a plan. mu must be held.
@@ -122,8 +151,7 @@
 	c := p.catalogue()
 	c.Entries, c.Repeats = r.entries, r.cfg.Repeats
 	r.cfg.Core.SetCatalogue(c)
-	entries := r.entries
-	r.cfg.Targets.Configure(p.connectionTargets(), func(t sheet.Target) int { return connshare.Share(t.MaxConnections, entries) })
+	r.cfg.Targets.Configure(p.connectionTargets(), func(t sheet.Target) int { return t.MaxConnections })
 }
 
 // Ready reports whether documents are in force, the relay is not stopping and
@@ -261,7 +289,7 @@
 // gather answers with the merged records of the shards.
 func (r *Relay) gather(ctx context.Context, req *relayapi.Request, route *route, core *engine.Request) *relayapi.Answer {
 	w := &gatherWork{work: work{relay: r, req: req, layout: route.layout, deadline: core.Deadline}, top: route.relay.TopRecords}
-	core.Work, core.Pools = w, route.relay.Shards
+	core.Work, core.Pools, core.Others = w, route.relay.Shards, route.others
 	if _, err := r.cfg.Core.Run(ctx, core); err != nil {
 		return refusal(status.From(err))
 	}
@@ -272,7 +300,7 @@
 func (r *Relay) pass(ctx context.Context, req *relayapi.Request, route *route, core *engine.Request) *relayapi.Answer {
 	part := route.choosePart()
 	w := &passWork{work: work{relay: r, req: req, layout: route.parts[part], deadline: core.Deadline}}
-	core.Work, core.Pools = w, []string{route.relay.Split[part].Group}
+	core.Work, core.Pools, core.Others = w, []string{route.relay.Split[part].Group}, route.partOthers[part]
 	run := r.cfg.Core.Run
 	if route.service.Repeat.Rule == sheet.AtMostOnce {
 		run = r.cfg.Core.RunOnce
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -94,7 +94,7 @@
 	d.t.Cleanup(client.Close)
 	self := engine.Identity{Entry: "e", Zone: "z", Incarnation: ids.NewIncarnation(), Start: time.Now().Add(-time.Hour)}
 	core := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: client, GuardKey: []byte("key"), PolicyOn: true, Metrics: &metrics.Metrics})
-	d.relay = relay.New(relay.Config{Core: core, Metrics: &relay.Metrics{}, Targets: client, Log: zerolog.Nop(),
+	d.relay = relay.New(relay.Config{Self: self, Core: core, Metrics: &relay.Metrics{}, Targets: client, Log: zerolog.Nop(),
 		Repeats: retrybudget.FleetSettings{Ratio: 0.2, Minimum: 50, Window: 10 * time.Second}})
 	d.relay.SetDocuments(d.sheet, d.targets)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -211,6 +211,14 @@
 	}
 }
 
+// refused starts the backoff of dials: the target closed a connection before its
+// first reply, as one over its cap.
+func (p *pool) refused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pacer.Failed(monotonic(), globalRand{})
+}
+
 // release returns a healthy connection to the pool.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -68,6 +68,9 @@
 	silent := x.endSilenceWatch()
 	x.reusable = stop() && x.reusable && !silent
 	if err != nil {
+		if x.conn.lastReply.IsZero() && ctx.Err() == nil {
+			x.pool.refused()
+		}
 		x.pool.discard(x.conn)
 		return nil, x.ioError(ctx, err, outcome)
 	}
