Avoid slow targets outside the subset, and keep no connections there

Change: a target whose recent latency is above 30% of the time to the cutoff gives way to the others of its group, from 6 s after the start of the process; connections outside the subset are closed after use. Idle connections of clients follow the limit in force.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 PROGRAMS := balsam-entry balsam-ctl balsam-load balsam-standin
 SEEDS ?= 5
 
-.PHONY: build test race lint run bench gobench generate clean
+SEED ?= 1
+MINUTES ?= 2
+
+.PHONY: build test race lint run bench gobench soak generate clean
 
 build:
 	@mkdir -p bin
@@ -30,6 +33,10 @@
 gobench:
 	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./internal/configsync/... ./internal/entry/...
 
+# Runs the fault soak of the relay: real entries between stand-ins.
+soak:
+	go test -count=1 -v -timeout $$(( $(MINUTES) + 5 ))m ./platform/soaktest -args -soak.seed=$(SEED) -soak.seconds=$$(( $(MINUTES) * 60 ))
+
 generate:
 	protocol/peerpb/generate.sh
 
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -49,15 +49,32 @@
 	}
 }
 
+// slowPart is the part of the time to the cutoff that makes a target slow. A usual
+// reply takes an eighth.
+const slowPart = 0.3
+
+// settleIn is the age of the process from which slow targets are avoided. When many
+// entries start together every target is slow, and new connections to the others make
+// it worse.
+const settleIn = 6 * time.Second
+
 // choose picks a target of a shard: one to which this entry keeps connections, or
-// another one when those are tried or failed lately.
+// another one when those are tried, slow or failed lately.
 func (e *Engine) choose(req *Request, targets []string, shard int, exclude []string) (string, bool) {
-	target, held, ok := e.policy.pick(targets, exclude)
-	if ok && !held || req.Others == nil {
+	if req.Others == nil {
+		target, _, ok := e.policy.pick(targets, exclude, 0)
 		return target, ok
 	}
-	other, otherHeld, found := e.policy.pick(req.Others[shard], exclude)
-	if found && (!ok || !otherHeld) {
+	slow := time.Duration(0)
+	if at, _ := req.Contract.Cutoff.At(); e.self.Clock() > settleIn {
+		slow = time.Duration(slowPart * float64(at))
+	}
+	target, weak, ok := e.policy.pick(targets, exclude, slow)
+	if ok && !weak {
+		return target, true
+	}
+	other, otherWeak, found := e.policy.pick(req.Others[shard], exclude, slow)
+	if found && (!ok || !otherWeak) {
 		return other, true
 	}
 	return target, ok
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -243,7 +243,7 @@
 func (globalRand) IntN(n int) int   { return rand.IntN(n) }
 func (globalRand) Float64() float64 { return rand.Float64() }
 
-func (l *loaded) pick(ids, exclude []string) (string, bool, bool) {
+func (l *loaded) pick(ids, exclude []string, slow time.Duration) (string, bool, bool) {
 	now := l.now()
 	var buffer [maxReplicas]replica.Candidate
 	var cells [maxReplicas]*targetCell
@@ -277,9 +277,10 @@
 	if !ok {
 		return "", false, false
 	}
-	held := cells[i].Lock().stats.Score(now).Held
+	stats := cells[i].Lock().stats
+	weak := stats.Score(now).Held || slow > 0 && max(stats.Latency(now), stats.OldestAge(now)) > slow
 	cells[i].Unlock()
-	return ids[(first+i)%len(ids)], held, true
+	return ids[(first+i)%len(ids)], weak, true
 }
 
 // usefulPart is the part of the time to the cutoff within which a reply shows that
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -21,8 +21,9 @@
 	// called when it ended. An error has the outcome NotRun.
 	admit(ctx context.Context, req *Request) (release func(admission.Result), err error)
 	// pick chooses a target that may get an attempt: one that is not leaving and
-	// not excluded. It is held when all such targets failed lately.
-	pick(targets, exclude []string) (id string, held, ok bool)
+	// not excluded. It is weak when it failed lately or its recent latency is above
+	// slow; a slow of zero is no bound.
+	pick(targets, exclude []string, slow time.Duration) (id string, weak, ok bool)
 	// start records an attempt; finish must follow with the returned token.
 	start(req *Request, shard int, target string) attemptToken
 	// free reports whether the shard takes another sub-request.
@@ -93,7 +94,7 @@
 	return func(admission.Result) {}, nil
 }
 
-func (b *baseline) pick(targets, exclude []string) (string, bool, bool) {
+func (b *baseline) pick(targets, exclude []string, _ time.Duration) (string, bool, bool) {
 	now := b.self.Clock()
 	allowed := make([]string, 0, len(targets))
 	for _, t := range targets {
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -176,12 +177,17 @@
 	}
 }
 
-// connectionTargets lists the targets with this entry's share of their connections.
+// connectionTargets lists the targets with this entry's share of their connections,
+// zero outside the subset.
 func (p *plan) connectionTargets() []sheet.Target {
 	list := make([]sheet.Target, 0, len(p.targets.Targets))
 	for i := range p.targets.Targets {
 		t := &p.targets.Targets[i]
-		if most := p.shares[t.Group]; most > 0 {
+		most, known := p.shares[t.Group]
+		if !slices.Contains(p.subsets[t.Group], t.ID) {
+			most = 0
+		}
+		if known {
 			list = append(list, sheet.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, Slots: t.Slots, MaxConnections: most})
 		}
 	}
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -74,7 +74,7 @@
 }
 
 // Configure sets the known targets and this entry's share of the connections
-// to each. Pools of other targets are closed.
+// to each; see pool.setLimit for a share of zero. Pools of other targets are closed.
 func (c *Client) Configure(targets []sheet.Target, share func(sheet.Target) int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -329,3 +329,30 @@
 		}
 	}
 }
+
+// Guards against connections to targets outside an entry's subset that stay open and
+// take the places of other entries.
+func TestTransientConnectionsAreClosedAfterUse(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })}
+	go func() { _ = srv.Serve(lis) }()
+	defer srv.Close()
+	c := New(noMetrics{})
+	defer c.Close()
+	target := []sheet.Target{{ID: "t", Address: lis.Addr().String()}}
+	message := &Message{Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: t\r\n\r\n")}
+	for share, kept := range map[int]int{0: 0, 1: 1} {
+		c.Configure(target, func(sheet.Target) int { return share })
+		reply, err := c.Exchange(t.Context(), "t", message, Options{})
+		is.NoErr(err)
+		is.Equal(reply.Status, http.StatusOK)
+		is.Equal(c.Connections("t"), kept) // share
+	}
+}
+
+type noMetrics struct{}
+
+func (noMetrics) SilentConnection() {}
+func (noMetrics) ReplyMismatch()    {}
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -42,6 +42,9 @@
 	open int
 	// limit is this entry's share of the target's connection cap. Guarded by mu.
 	limit int
+	// transient is set when connections are closed after use, because this entry has no
+	// share. Guarded by mu.
+	transient bool
 	// waiters are served first come, first served. Guarded by mu.
 	waiters []chan *conn
 	// peak and lastPeak are the largest numbers of busy connections in the running
@@ -222,7 +225,7 @@
 // release returns a healthy connection to the pool.
 func (p *pool) release(c *conn) {
 	p.mu.Lock()
-	if p.closed || p.open > p.limit {
+	if p.closed || p.open > p.limit || p.transient && len(p.waiters) == 0 {
 		p.open--
 		p.mu.Unlock()
 		c.Close()
@@ -309,13 +312,14 @@
 	return len(stale)
 }
 
-// setLimit changes the share and closes idle connections above it.
+// setLimit changes the share and closes idle connections above it. A share of zero
+// allows one connection, which is closed after use.
 func (p *pool) setLimit(n int) {
 	p.mu.Lock()
-	p.limit = max(n, 1)
+	p.limit, p.transient = max(n, 1), n <= 0
 	p.pacer.SetRate(max(float64(p.limit), connshare.DefaultSettings().DialsPerSecond), max(p.limit/2, connshare.DefaultSettings().Burst))
 	var surplus []*conn
-	for p.open > p.limit && len(p.idle) > 0 {
+	for (p.open > p.limit || p.transient) && len(p.idle) > 0 {
 		surplus = append(surplus, p.idle[0])
 		p.idle = p.idle[1:]
 		p.open--
