--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -151,7 +151,7 @@
 	}
 	text := fmt.Sprintf("answered with %d of %d shards after %d ms", l.Answered, l.Shards, l.TookMS)
 	if l.Code != "" {
-		text = fmt.Sprintf("failed after %d ms: %s, outcome %s, %d of %d shards", l.TookMS, l.Code, l.Outcome, l.Answered, l.Shards)
+		text = fmt.Sprintf("failed after %d ms: %s (%s), outcome %s, %d of %d shards", l.TookMS, l.Code, l.Detail, l.Outcome, l.Answered, l.Shards)
 		if l.RetryMS > 0 {
 			text += fmt.Sprintf(", come back in %s", time.Duration(l.RetryMS)*time.Millisecond)
 		}
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -11,7 +11,7 @@
 not a log line
   4.01 front {"entry":"e-1","request_id":"other","service":"s","message":"request"}
   4.02 front {"level":"warn","entry":"e-1","target":"i-2","request_id":"id-1","refused":false,"message":"target crashed during an attempt"}
-  4.03 front {"entry":"e-1","request_id":"id-1","service":"wide","sheet":7,"targets":3,"answered":1,"shards":3,"took_ms":52,"goal_ms":60,"deadline_ms":990,"attempts":"0:i-1@0+5=ok 1:i-2@0+2=connection_failed 1:@2+?(no_budget) 2:@0+?(over_limit) 0:i-9@23+?(hedge)","code":"overloaded","outcome":"not_run","retry_after_ms":200,"time":"2026-12-04T05:00:04Z","message":"request"}
+  4.03 front {"entry":"e-1","request_id":"id-1","service":"wide","sheet":7,"targets":3,"answered":1,"shards":3,"took_ms":52,"goal_ms":60,"deadline_ms":990,"attempts":"0:i-1@0+5=ok 1:i-2@0+2=connection_failed 1:@2+?(no_budget) 2:@0+?(over_limit) 0:i-9@23+?(hedge)","code":"overloaded","outcome":"not_run","detail":"2 of 3 shards take the request","retry_after_ms":200,"time":"2026-12-04T05:00:04Z","message":"request"}
 `
 
 // Guards against an explanation that mixes requests, or leaves out what decided.
@@ -32,7 +32,7 @@
 		"  shard 1 at 2 ms: the fleet's repeats at this group are used up",
 		"  shard 2 at 0 ms: left out: the shard is overloaded or does not answer",
 		"  shard 0 at 23 ms: sent to i-9 (hedge to another target), no reply by the end",
-		"failed after 52 ms: overloaded, outcome not_run, 1 of 3 shards, come back in 200ms",
+		"failed after 52 ms: overloaded (2 of 3 shards take the request), outcome not_run, 1 of 3 shards, come back in 200ms",
 	})
 }
 
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -114,7 +114,7 @@
 		Int64("deadline_ms", req.Deadline.Sub(req.Arrival).Milliseconds()).Str("attempts", t.String())
 	if err != nil {
 		se := status.From(err)
-		line.Str("code", string(se.Code)).Str("outcome", string(se.Outcome)).Int64("retry_after_ms", se.RetryAfter.Milliseconds())
+		line.Str("code", string(se.Code)).Str("outcome", string(se.Outcome)).Str("detail", se.Message).Int64("retry_after_ms", se.RetryAfter.Milliseconds())
 	}
 	line.Msg("request")
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -6,6 +6,7 @@
 	"sort"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/connshare"
 	"github.com/balsamstall/balsamstall/internal/engine"
@@ -131,6 +132,9 @@
 	return len(r.relay.Split) - 1
 }
 
+// coldPeriod is the time for which a target that reports a warm-up stays slow.
+const coldPeriod = 3 * time.Second
+
 // catalogue describes the plan to the engine.
 func (p *plan) catalogue() *engine.Catalogue {
 	c := &engine.Catalogue{}
@@ -152,7 +156,11 @@
 	}
 	for i := range p.targets.Targets {
 		t := &p.targets.Targets[i]
-		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Zone: t.Zone, Slots: t.Slots})
+		cold := time.Duration(0)
+		if t.Cold {
+			cold = coldPeriod
+		}
+		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Zone: t.Zone, Slots: t.Slots, ColdFor: cold})
 	}
 	return c
 }
