--- a/coordination/membership/choice.go
+++ b/coordination/membership/choice.go
@@ -133,13 +133,7 @@
 // small fleet; of a larger one the highest ranks of the own zone and some at
 // random.
 func (t *Table) Sample(now time.Time, rng *rand.Rand) []Member {
-	since := t.aliveSince(now)
-	var alive []*member
-	for _, m := range t.order {
-		if m.aliveSince(since) {
-			alive = append(alive, m)
-		}
-	}
+	alive := t.alive(now)
 	if len(alive) > completeSample {
 		top := t.topOfZone(alive)
 		rest := slices.DeleteFunc(alive, func(m *member) bool { return slices.Contains(top, m) })
@@ -154,6 +148,11 @@
 // Introduction returns the live members of which an entry is told that knows few, at
 // most 120 at random.
 func (t *Table) Introduction(now time.Time, rng *rand.Rand) []Member {
+	return described(pick(rng, t.alive(now), maxIntroduction))
+}
+
+// alive returns the members that count as alive.
+func (t *Table) alive(now time.Time) []*member {
 	since := t.aliveSince(now)
 	var alive []*member
 	for _, m := range t.order {
@@ -161,7 +160,7 @@
 			alive = append(alive, m)
 		}
 	}
-	return described(pick(rng, alive, maxIntroduction))
+	return alive
 }
 
 func described(members []*member) []Member {
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -13,7 +13,6 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
-	"github.com/balsamstall/balsamstall/coordination/shardlimit"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
@@ -79,15 +78,6 @@
 	admission *admission.Service
 }
 
-// poolState bounds the repeats at one target group.
-type poolState struct {
-	mu sync.Mutex
-	// repeats is guarded by mu.
-	repeats *retrybudget.FleetShare
-	// limit is guarded by mu.
-	limit *shardlimit.Limiter
-}
-
 func newLoaded(self Identity, leaving *leavingSet) *loaded {
 	return &loaded{
 		self:      self,
@@ -283,48 +273,12 @@
 	return ids[(first+i)%len(ids)], weak, true
 }
 
-// usefulPart is the part of the time to the cutoff within which a reply shows that
-// its shard is not overloaded.
-const usefulPart = 0.5
-
-func (l *loaded) free(req *Request, shard int) bool {
-	if len(req.Pools) < 2 {
-		return true // Nothing is gained by leaving out the only shard.
-	}
-	p := l.pool(req.Pools[shard])
-	if p == nil {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.limit.Free()
-}
-
-func (l *loaded) open(targets []string) bool {
-	now := l.now()
-	for _, id := range targets {
-		cell := l.targets.Get(id)
-		if cell == nil || l.leaving.has(id, now) {
-			continue
-		}
-		refused := cell.Lock().refusedUntil
-		cell.Unlock()
-		if now >= refused {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *loaded) start(req *Request, shard int, target string) attemptToken {
 	t := attemptToken{target: l.targets.Get(target), service: l.service(req.Service), began: l.now()}
 	if len(req.Pools) > 1 {
 		if t.pool = l.pool(req.Pools[shard]); t.pool != nil {
-			at, _ := req.Contract.Cutoff.At()
-			t.useful = time.Duration(usefulPart * float64(at))
-			t.pool.mu.Lock()
-			t.pool.limit.Start()
-			t.pool.mu.Unlock()
+			t.useful = useful(req)
+			t.pool.begin()
 		}
 	}
 	if t.target != nil {
@@ -341,11 +295,7 @@
 func (l *loaded) finish(t attemptToken, class replica.Class, refused bool) {
 	now := l.now()
 	if t.pool != nil {
-		took := now - t.began
-		t.pool.mu.Lock()
-		// An attempt that was given up early, such as the loser of a hedge, tells nothing.
-		t.pool.limit.End(now, class == replica.Success && took <= t.useful, class != replica.Canceled || took > t.useful)
-		t.pool.mu.Unlock()
+		t.pool.end(now, now-t.began, t.useful, class)
 	}
 	if t.target == nil {
 		return
@@ -448,57 +398,6 @@
 	return s.hedges.Decide(l.now(), p)
 }
 
-func (l *loaded) allowRetry(req *Request, shard int) bool {
-	if req.Pools != nil {
-		p := l.pool(req.Pools[shard])
-		if p == nil {
-			return false
-		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.repeats.TryRepeat(l.now(), int(l.entries.Load()))
-	}
-	s := l.service(req.Service)
-	if s == nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.retries.TryRetry(l.now())
-}
-
-// pool returns the state of a target group, nil for one that is not known.
-func (l *loaded) pool(name string) *poolState {
-	if m := l.pools.Load(); m != nil {
-		return (*m)[name]
-	}
-	return nil
-}
-
-// setPools keeps the repeats of groups that stay.
-func (l *loaded) setPools(c *Catalogue) {
-	old := l.pools.Load()
-	if old == nil {
-		old = &map[string]*poolState{}
-	}
-	next := make(map[string]*poolState, len(c.Pools))
-	for _, name := range c.Pools {
-		p := (*old)[name]
-		if p == nil {
-			p = &poolState{
-				repeats: retrybudget.NewFleetShare(c.Repeats, 0),
-				limit:   shardlimit.New(shardlimit.DefaultSettings(), l.now()),
-			}
-		}
-		p.mu.Lock()
-		p.repeats.SetSettings(c.Repeats)
-		p.mu.Unlock()
-		next[name] = p
-	}
-	l.pools.Store(&next)
-	l.entries.Store(int64(max(c.Entries, 1)))
-}
-
 func (l *loaded) silentAfter(service string) time.Duration {
 	delay, _ := l.usualDelay(service)
 	return max(silentFactor*delay, silentFloor)
--- /dev/null
+++ b/internal/engine/pools.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/replica"
+	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/coordination/shardlimit"
+)
+
+// poolState bounds the repeats at one target group.
+type poolState struct {
+	mu sync.Mutex
+	// repeats is guarded by mu.
+	repeats *retrybudget.FleetShare
+	// limit is guarded by mu.
+	limit *shardlimit.Limiter
+}
+
+// usefulPart is the part of the time to the cutoff within which a reply shows that
+// its shard is not overloaded.
+const usefulPart = 0.5
+
+// useful returns the time within which a reply to a request is of use.
+func useful(req *Request) time.Duration {
+	at, _ := req.Contract.Cutoff.At()
+	return time.Duration(usefulPart * float64(at))
+}
+
+// begin counts an attempt at the group.
+func (p *poolState) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.Start()
+}
+
+// end counts the end of an attempt. One that was given up early, such as the loser of
+// a hedge, tells nothing about the group.
+func (p *poolState) end(now, took, useful time.Duration, class replica.Class) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit.End(now, class == replica.Success && took <= useful, class != replica.Canceled || took > useful)
+}
+
+func (l *loaded) free(req *Request, shard int) bool {
+	if len(req.Pools) < 2 {
+		return true // Nothing is gained by leaving out the only shard.
+	}
+	p := l.pool(req.Pools[shard])
+	if p == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit.Free()
+}
+
+func (l *loaded) open(targets []string) bool {
+	now := l.now()
+	for _, id := range targets {
+		cell := l.targets.Get(id)
+		if cell == nil || l.leaving.has(id, now) {
+			continue
+		}
+		refused := cell.Lock().refusedUntil
+		cell.Unlock()
+		if now >= refused {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *loaded) allowRetry(req *Request, shard int) bool {
+	if req.Pools != nil {
+		p := l.pool(req.Pools[shard])
+		if p == nil {
+			return false
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.repeats.TryRepeat(l.now(), int(l.entries.Load()))
+	}
+	s := l.service(req.Service)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retries.TryRetry(l.now())
+}
+
+// pool returns the state of a target group, nil for one that is not known.
+func (l *loaded) pool(name string) *poolState {
+	if m := l.pools.Load(); m != nil {
+		return (*m)[name]
+	}
+	return nil
+}
+
+// setPools keeps the repeats of groups that stay.
+func (l *loaded) setPools(c *Catalogue) {
+	old := l.pools.Load()
+	if old == nil {
+		old = &map[string]*poolState{}
+	}
+	next := make(map[string]*poolState, len(c.Pools))
+	for _, name := range c.Pools {
+		p := (*old)[name]
+		if p == nil {
+			p = &poolState{
+				repeats: retrybudget.NewFleetShare(c.Repeats, 0),
+				limit:   shardlimit.New(shardlimit.DefaultSettings(), l.now()),
+			}
+		}
+		p.mu.Lock()
+		p.repeats.SetSettings(c.Repeats)
+		p.mu.Unlock()
+		next[name] = p
+	}
+	l.pools.Store(&next)
+	l.entries.Store(int64(max(c.Entries, 1)))
+}
