--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -164,17 +164,29 @@
 
 // Search implements callerhttp.Handler.
 func (e *Engine) Search(ctx context.Context, call callerhttp.Call) callerhttp.Reply {
+	reply := e.search(ctx, call)
+	reply.Close = e.draining.Load()
+	return reply
+}
+
+// search runs one search. A stopping entry still serves those on open connections; the
+// HTTP server waits for them.
+func (e *Engine) search(ctx context.Context, call callerhttp.Call) callerhttp.Reply {
 	id := e.nextID()
-	if !e.inflight.Begin(id.Sequence) {
-		err := status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter)
-		return e.errorReply(id, unproved(call.Search, err), "")
+	counted := e.inflight.Begin(id.Sequence)
+	if counted {
+		defer e.inflight.End(id.Sequence)
 	}
-	defer e.inflight.End(id.Sequence)
 	e.core.AwaitVerified(ctx)
 	req, err := e.prepare(id, call)
 	if err != nil {
 		return e.errorReply(id, unproved(call.Search, err), "")
 	}
+	if !counted && req.service.Repeat.Rule == sheet.AtMostOnce {
+		// The journal is on its way to the successor.
+		err := status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter)
+		return e.errorReply(id, unproved(call.Search, err), "")
+	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	var reply callerhttp.Reply
--- a/internal/entry/query_test.go
+++ b/internal/entry/query_test.go
@@ -16,6 +16,7 @@
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
+	"github.com/balsamstall/balsamstall/transport/callerhttp"
 )
 
 func quote(query string) callerapi.SearchRequest {
@@ -217,3 +218,20 @@
 		}
 	}
 }
+
+// Guards against searches on open connections that a stopping entry refuses, and
+// against a permit that runs after the journal was handed over.
+func TestStoppingEntryServesSearches(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 4)
+	permit := f.permit(0, testKeyAsan, "fetch d1")
+	e := f.engine(0)
+	e.draining.Store(true)
+	is.NoErr(e.Stop(context.Background()))
+	reply := e.Search(context.Background(), callerhttp.Call{Key: testKeyAsan, Search: quote("clamp"), Arrival: time.Now()})
+	is.Equal(reply.Status, http.StatusOK)
+	is.True(reply.Close)
+	got := f.search(0, testKeyAsan, callerapi.SearchRequest{Service: "drawing-vault", Query: "fetch d1", Permit: permit})
+	is.Equal(got.fault.Code, status.Draining)
+	is.Equal(got.fault.Outcome, status.Unknown) // An earlier use of the permit may have run.
+}
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -57,6 +57,8 @@
 	Body []byte
 	// RetryAfter is the recommended time to come back, zero for none.
 	RetryAfter time.Duration
+	// Close asks the caller to use another connection for its next request.
+	Close bool
 }
 
 // Handler runs searches.
@@ -159,6 +161,9 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	if reply.Close {
+		header.Set("Connection", "close")
+	}
 	if reply.RetryAfter > 0 {
 		// Retry-After counts whole seconds; the body holds milliseconds.
 		seconds := int64((reply.RetryAfter + time.Second - 1) / time.Second)
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -130,7 +130,10 @@
 		if err != nil {
 			return nil, err
 		}
-		body, err := readAll(resp)
+		var body []byte
+		if m.Method != http.MethodHead { // Its length is that of the body it leaves out.
+			body, err = readAll(resp)
+		}
 		resp.Body.Close()
 		if err != nil {
 			return nil, err
