Hand out each test address once

FreeAddress drew 120 ports of 12,000 at random, of which two are equal in every second run. Ruled out: connections of other runs (the ports are below their range). Change: a port is handed out once.

--- a/internal/testfleet/process.go
+++ b/internal/testfleet/process.go
@@ -83,14 +83,24 @@
 	portTries = 100
 )
 
-// FreeAddress returns a loopback address that nothing listens on.
+// handedOut holds the ports that FreeAddress returned. Of 120 random ports two are
+// equal in every second run, and the second process could not listen.
+var handedOut sync.Map
+
+// FreeAddress returns a loopback address that nothing listens on and that it has not
+// returned before.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
 	for range portTries {
-		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
-		if err == nil {
-			defer lis.Close()
-			return lis.Addr().String()
+		port := firstPort + rand.IntN(ports)
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		address := lis.Addr().String()
+		lis.Close()
+		if _, known := handedOut.LoadOrStore(port, true); !known {
+			return address
 		}
 	}
 	t.Fatal("no free port was found")
