--- a/internal/engine/pools.go
+++ b/internal/engine/pools.go
@@ -9,12 +9,12 @@
 	"github.com/balsamstall/balsamstall/coordination/shardlimit"
 )
 
-// poolState bounds the repeats at one target group.
+// poolState is what this entry knows of one target group.
 type poolState struct {
 	mu sync.Mutex
-	// repeats is guarded by mu.
+	// repeats is this entry's share of the fleet's repeats. Guarded by mu.
 	repeats *retrybudget.FleetShare
-	// limit is guarded by mu.
+	// limit bounds the sub-requests in flight. Guarded by mu.
 	limit *shardlimit.Limiter
 }
 
