Move the copy of the store out of the platform's folder

The adapter held state (the copy at the last answer), pacing (gaps between reads and watches) and recovery (reading again after lost history). They are now internal/feed, over the port feed.Source; platform/store only calls and translates.

--- a/cmd/balsam-entry/platform.go
+++ b/cmd/balsam-entry/platform.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/internal/entry"
+	"github.com/balsamstall/balsamstall/internal/feed"
 	"github.com/balsamstall/balsamstall/internal/relay"
 	"github.com/balsamstall/balsamstall/internal/settings"
 	"github.com/balsamstall/balsamstall/platform/backend"
@@ -28,13 +29,13 @@
 func relayPlatform(path string, set *settings.Relay, log zerolog.Logger) error {
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryMB<<20)))
-	documents, err := store.New(set.PlatformAddress, log)
+	client, err := store.New(set.PlatformAddress, log)
 	if err != nil {
 		return err
 	}
-	defer documents.Close()
+	defer client.Close()
 	daemon, err := entry.NewRelayDaemon(set, log, entry.RelayPorts{
-		Documents: documents,
+		Documents: feed.New(client, log),
 		Targets:   func(m targethttp.Metrics) relay.Targets { return backend.New(m) },
 		Servers: func(callers, ready net.Listener, r *relay.Relay) []transport.Server {
 			return []transport.Server{gateway.NewServer(callers, r), gateway.NewReadyServer(ready, r)}
