Keep requests that run alone apart from others on their targets

Cause: an innocent search that shared the first crashed target ran alone at the same moment as the crashing one, and both could choose the same target. Its crash then condemned both (422 for the innocent). Traced in the logs of failed runs of TestCrashingRequestIsQuarantined: the two ran at two entries, or at one, and each met the second crash in its lone run.

A request that a target answered in the same run needs two lone crashes before it is refused: one that crashes each target never has such an answer.

TestLoneRunsDoNotShareATarget and TestProvenRequestSurvivesTheCrashOfItsLoneRun fail with the two parts switched off.

--- a/coordination/quarantine/facts.go
+++ b/coordination/quarantine/facts.go
@@ -100,7 +100,7 @@
 	}
 	if e.cleared {
 		// This coincidence is another than those that were disproved.
-		e.cleared, e.repeats = false, 0
+		e.cleared, e.lone, e.repeats = false, 0, 0
 	}
 	e.targets = append(e.targets, c.Target)
 }
--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -28,6 +28,10 @@
 	TrialRetryAfter time.Duration
 	// MaxEntries bounds the number of fingerprints.
 	MaxEntries int
+	// ProvenCrashes is the number of targets that must crash in runs that were alone
+	// before a request that another target answered in the same run is refused. A
+	// request that crashes each target has no such answer.
+	ProvenCrashes int
 	// MaxRepeats is the number of coincidences on known targets, in runs that
 	// were alone, after which the request is refused. It bounds the crashes of
 	// one target when no other target holds the shard.
@@ -41,6 +45,7 @@
 		SuspicionPeriod: 10 * time.Minute,
 		TrialRetryAfter: time.Second,
 		MaxEntries:      10_000,
+		ProvenCrashes:   2,
 		MaxRepeats:      2,
 	}
 }
@@ -112,6 +117,8 @@
 	cleared bool
 	// trial is set while the request runs alone.
 	trial bool
+	// lone counts coincidences on new targets in runs that were alone.
+	lone int
 	// repeats counts coincidences on known targets in runs that were alone.
 	repeats int
 	targets []string
@@ -139,10 +146,18 @@
 	return Decision{Verdict: Alone, Avoid: slices.Clone(e.targets)}
 }
 
-// Crash records that target crashed while it ran an attempt of the request. The
-// argument alone tells whether the attempt ran under the verdict Alone. It
+// Run describes the attempt during which a target crashed.
+type Run struct {
+	Target string
+	// Alone is set when the attempt ran under the verdict Alone.
+	Alone bool
+	// Proven is set when another target answered the same run of the request.
+	Proven bool
+}
+
+// Crash records that a target crashed while it ran an attempt of the request. It
 // reports whether the request is refused from now on because of this event.
-func (d *Detector) Crash(fp Fingerprint, target string, alone bool, now time.Duration) bool {
+func (d *Detector) Crash(fp Fingerprint, run Run, now time.Duration) bool {
 	e := d.find(fp, now)
 	if e == nil {
 		e = d.insert(fp, now+d.settings.SuspicionPeriod, false, now)
@@ -152,19 +167,24 @@
 	}
 	if e.cleared {
 		// The run that cleared the request disproved the older coincidences.
-		e.cleared, e.targets, e.repeats = false, nil, 0
+		e.cleared, e.targets, e.lone, e.repeats = false, nil, 0, 0
 	}
-	known := slices.Contains(e.targets, target)
-	if known && !alone {
+	known := slices.Contains(e.targets, run.Target)
+	if known && !run.Alone {
 		// One crash may be reported for several attempts.
 		return false
 	}
-	convicted := alone && !known && len(e.targets) > 0
-	if known {
+	convicted := false
+	switch {
+	case known:
 		e.repeats++
 		convicted = e.repeats >= d.settings.MaxRepeats
-	} else if len(e.targets) < maxTargets {
-		e.targets = append(e.targets, target)
+	case run.Alone && len(e.targets) > 0:
+		e.lone++
+		convicted = !run.Proven || e.lone >= d.settings.ProvenCrashes
+	}
+	if !known && len(e.targets) < maxTargets {
+		e.targets = append(e.targets, run.Target)
 	}
 	if convicted {
 		d.refuse(e, now+d.settings.Period)
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -90,7 +91,12 @@
 	if len(q.avoid) > 0 {
 		exclude = slices.Concat(s.tried, q.avoid)
 	}
-	target, ok := q.engine.choose(q.req, q.snapshot.Shards[s.shard], s.shard, exclude)
+	alone := i == q.trial
+	choose := q.engine.chooseApart
+	if alone {
+		choose = q.engine.chooseAlone
+	}
+	target, ok := choose(q.req, q.snapshot.Shards[s.shard], s.shard, exclude)
 	if !ok {
 		return false
 	}
@@ -100,7 +106,8 @@
 	q.attempts++
 	q.trace.began(s.shard, target, cause)
 	go q.engine.attempt(s.ctx, q.req, q.results, attemptResult{
-		round: q.round, sub: i, target: target, alone: i == q.trial,
+		round: q.round, sub: i, target: target,
+		run: quarantine.Run{Target: target, Alone: alone, Proven: q.accepted > 0},
 	}, Attempt{
 		Number:      q.attempts,
 		Shard:       s.shard,
@@ -116,6 +123,9 @@
 func (e *Engine) attempt(ctx context.Context, req *Request, results chan<- attemptResult, r attemptResult, a Attempt) {
 	token := e.policy.start(req, a.Shard, r.target)
 	r.reply, r.err = req.Work.Send(ctx, a)
+	if r.run.Alone {
+		e.lone.end(r.target)
+	}
 	e.policy.finish(token, classOf(r.err), refusedConnection(r.err))
 	e.metrics.attempt(r.err)
 	e.noteFailure(r.target, req.ID, r.err)
@@ -123,11 +133,11 @@
 		// The next attempt does not wait for the connection that tells a crash from a
 		// lost reply.
 		results <- r
-		e.noteIfCrashed(req, r.target, r.alone, r.err)
+		e.noteIfCrashed(req, r.run, r.err)
 		return
 	}
 	// Recorded here because the query may have ended already.
-	r.crashed, r.refused = e.noteIfCrashed(req, r.target, r.alone, r.err)
+	r.crashed, r.refused = e.noteIfCrashed(req, r.run, r.err)
 	results <- r
 }
 
--- a/internal/engine/canary.go
+++ b/internal/engine/canary.go
@@ -139,18 +139,24 @@
 }
 
 // disjointShard returns a random sub-request without attempts whose targets
-// include none that crashed with the request, or none.
+// include none that crashed with the request, or none. One with a target that only
+// this entry uses for lone runs goes first.
 func (q *query) disjointShard(except int) int {
-	first := rand.IntN(len(q.subs))
+	first, shared := rand.IntN(len(q.subs)), none
 	for k := range q.subs {
 		n := (first + k) % len(q.subs)
 		s := &q.subs[n]
 		if n == except || s.launched || s.attempts > 0 {
 			continue
 		}
-		if !slices.ContainsFunc(q.snapshot.Shards[s.shard], func(t string) bool { return slices.Contains(q.avoid, t) }) {
+		targets := q.snapshot.Shards[s.shard]
+		if slices.ContainsFunc(targets, func(t string) bool { return slices.Contains(q.avoid, t) }) {
+			continue
+		}
+		if q.engine.lone.free(targets) {
 			return n
 		}
+		shared = n
 	}
-	return none
+	return shared
 }
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -69,12 +69,12 @@
 
 // crashed records that a target crashed while it ran the request. It reports
 // whether the request is refused from now on.
-func (g *crashGuard) crashed(fp quarantine.Fingerprint, target string, alone bool) bool {
+func (g *crashGuard) crashed(fp quarantine.Fingerprint, run quarantine.Run) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.safe, fp)
 	delete(g.wasSafe, fp)
-	return g.detector.Crash(fp, target, alone, g.self.Clock())
+	return g.detector.Crash(fp, run, g.self.Clock())
 }
 
 // ended reports the end of a run that was allowed alone.
@@ -105,22 +105,23 @@
 
 // noteIfCrashed records that a target crashed while it ran a request, if it did. It
 // also reports whether the request is refused from then on.
-func (e *Engine) noteIfCrashed(req *Request, target string, alone bool, err error) (crashed, refused bool) {
-	if !e.guarded(req) || !e.targetCrashed(target, err) {
+func (e *Engine) noteIfCrashed(req *Request, run quarantine.Run, err error) (crashed, refused bool) {
+	if !e.guarded(req) || !e.targetCrashed(run.Target, err) {
 		return false, false
 	}
 	e.metrics.Crashes.Add(1)
-	refused = e.guard.crashed(req.Fingerprint, target, alone)
-	e.noteCrash(target, req.ID, refused)
+	refused = e.guard.crashed(req.Fingerprint, run)
+	e.noteCrash(run, req.ID, refused)
 	e.spread()
 	return true, refused
 }
 
 // noteCrash logs a crash and records a request that is refused because of it.
-func (e *Engine) noteCrash(target, requestID string, refused bool) {
-	e.log.Warn().Str("target", target).Str("request_id", requestID).Bool("refused", refused).Msg("target crashed during an attempt")
+func (e *Engine) noteCrash(run quarantine.Run, requestID string, refused bool) {
+	e.log.Warn().Str("target", run.Target).Bool("alone", run.Alone).Bool("proven", run.Proven).
+		Str("request_id", requestID).Bool("refused", refused).Msg("target crashed during an attempt")
 	if refused {
-		e.audit.Record(time.Now(), audit.Quarantined, e.self.Entry, "request "+requestID+" crashed two targets, the last one "+target)
+		e.audit.Record(time.Now(), audit.Quarantined, e.self.Entry, "request "+requestID+" crashed targets, the last one "+run.Target)
 	}
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -69,6 +69,7 @@
 	policy  policy
 	// guard is nil when the load policies are off.
 	guard   *crashGuard
+	lone    *loneRuns
 	leaving *leavingSet
 	spread  func()
 	verify  func()
@@ -103,6 +104,7 @@
 		targets: cfg.Targets,
 		policy:  p,
 		guard:   guard,
+		lone:    newLoneRuns(cfg.Self.Entry),
 		leaving: leaving,
 		metrics: cfg.Metrics,
 		spread:  cfg.Spread,
@@ -115,7 +117,10 @@
 }
 
 // SetCatalogue tells which services and targets exist.
-func (e *Engine) SetCatalogue(c *Catalogue) { e.policy.setCatalogue(c) }
+func (e *Engine) SetCatalogue(c *Catalogue) {
+	e.policy.setCatalogue(c)
+	e.lone.setTargets(c.Targets)
+}
 
 // afterPause drops what a pause of the process may have made stale.
 func (e *Engine) afterPause(gap pause.Gap) {
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -45,24 +45,31 @@
 	e.policy.planned(req, 1)
 	tried, arrived := guarded.avoid, false
 	var last error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
+	choose := e.chooseApart
+	if guarded.alone {
+		choose = e.chooseAlone
+	}
 	for number := uint32(1); number <= maxAttempts; number++ {
-		target, ok := e.choose(req, chosen.Shards[shard], shard, tried)
+		if arrived && req.Pools != nil && !e.policy.allowRetry(req, shard) {
+			break
+		}
+		target, ok := choose(req, chosen.Shards[shard], shard, tried)
 		if !ok && number == 1 {
 			// Every replica crashed with this request before. The crash guard bounds
 			// how often it may run here again.
-			target, ok = e.choose(req, chosen.Shards[shard], shard, nil)
+			target, ok = choose(req, chosen.Shards[shard], shard, nil)
 		}
 		if !ok {
 			break
 		}
-		if arrived && req.Pools != nil && !e.policy.allowRetry(req, shard) {
-			break
-		}
 		tried = append(tried, target)
 		t.began(shard, target, "")
 		reply, err := e.attemptOnce(ctx, req, Attempt{
 			Number: number, Shard: shard, Target: target, Snapshot: chosen.Snapshot, Once: true, Fresh: true,
 		})
+		if guarded.alone {
+			e.lone.end(target)
+		}
 		t.ended(shard, target, err)
 		guarded.attempted(target, err)
 		if err == nil {
@@ -118,11 +125,12 @@
 
 // attempted takes note of the end of an attempt.
 func (g *onceGuard) attempted(target string, err error) {
+	run := quarantine.Run{Target: target, Alone: g.alone}
 	if g.req.Pools != nil {
-		go g.engine.noteIfCrashed(g.req, target, g.alone, err) // The answer does not wait.
+		go g.engine.noteIfCrashed(g.req, run, err) // The answer does not wait.
 		return
 	}
-	g.engine.noteIfCrashed(g.req, target, g.alone, err)
+	g.engine.noteIfCrashed(g.req, run, err)
 }
 
 // end reports the end of a run that was allowed alone.
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -115,8 +115,8 @@
 	target string
 	reply  any
 	err    error
-	// alone is set for an attempt under the verdict Alone.
-	alone bool
+	// run describes the attempt to the crash guard.
+	run quarantine.Run
 	// crashed is set when the target crashed during the attempt, and refused
 	// when the request is refused from then on.
 	crashed, refused bool
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -135,3 +135,101 @@
 		is.True(named) // service
 	}
 }
+
+// suspectedAt crashes the first target that runs each query and blocks the attempts
+// that follow until release is called. It tells the target of each blocked attempt.
+func suspectedAt(f *fakeFleet, blocked chan<- string) (release func()) {
+	var mu sync.Mutex
+	crashed := map[string]string{} // The crashed target by query.
+	open := make(chan struct{})
+	f.targets.serve = func(_ context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		mu.Lock()
+		_, again := crashed[req.Query]
+		if !again {
+			crashed[req.Query] = target
+		}
+		mu.Unlock()
+		if !again {
+			return nil, status.New(status.ConnectionFailed, status.Unknown, "connection reset")
+		}
+		select {
+		case <-open:
+		default:
+			blocked <- target
+			<-open
+		}
+		return f.targets.run(req), nil
+	}
+	f.targets.reachable = func(target string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, t := range crashed {
+			if t == target {
+				return false
+			}
+		}
+		return true
+	}
+	return func() { close(open) }
+}
+
+// Guards F7: two requests that run alone at the same time do not share a target, at
+// one entry nor at two that know each other. If they did, the crash of one would
+// condemn the other.
+func TestLoneRunsDoNotShareATarget(t *testing.T) {
+	for _, entries := range []int{1, 2} {
+		for range 30 {
+			is := is.New(t)
+			f := newFakeFleet(t, entries, testTargets)
+			for i := range entries {
+				var peers []string
+				for k := range entries {
+					if k != i {
+						peers = append(peers, entryName(k))
+					}
+				}
+				f.engine(i).core.SetPeers(peers)
+			}
+			blocked := make(chan string, 100)
+			release := suspectedAt(f, blocked)
+			var running sync.WaitGroup
+			for k := range 2 {
+				running.Go(func() { f.search(k%entries, testKeyAsan, quote(fmt.Sprintf("suspect %d", k))) })
+			}
+			first, second := <-blocked, <-blocked
+			release()
+			running.Wait()
+			is.True(first != second)
+		}
+	}
+}
+
+// Guards F7: a request that a target answered is not refused because its lone run
+// met the crash of another request's target.
+func TestProvenRequestSurvivesTheCrashOfItsLoneRun(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 6)
+	var mu sync.Mutex
+	var crashed []string
+	f.targets.serve = func(_ context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if slices.Contains(crashed, target) {
+			return nil, status.New(status.ConnectionFailed, status.NotRun, "connection refused")
+		}
+		if f.targets.runs(func(targetapi.SearchRequest) bool { return true }) > 0 && len(crashed) < 2 {
+			// Other requests crash the targets of this one after its first reply.
+			crashed = append(crashed, target)
+			return nil, status.New(status.ConnectionFailed, status.Unknown, "connection reset")
+		}
+		return f.targets.run(req), nil
+	}
+	f.targets.reachable = func(target string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !slices.Contains(crashed, target)
+	}
+	got := f.search(0, testKeyAsan, quote("innocent"))
+	is.Equal(got.status, 200)
+	is.Equal(f.search(0, testKeyAsan, quote("innocent")).status, 200)
+}
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -79,6 +79,7 @@
 	})
 	d.facts = newFacts(d.self, d.engine.core)
 	d.wireSync()
+	d.engine.core.SetPeers(livePeers(d.syncer))
 	return d, d.wireServers()
 }
 
@@ -186,6 +187,7 @@
 			d.engine.inherited.Expire(now)
 			d.engine.core.Expire()
 			d.engine.SetEntries(d.entryCount())
+			d.engine.core.SetPeers(livePeers(d.syncer))
 			if d.settings.PolicyMode == settings.PolicyOn {
 				d.targets.Maintain()
 			}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -32,6 +33,19 @@
 	return nil
 }
 
+// livePeers names the other entries that are alive, and those that are listed under
+// their name, so that an entry that has just started divides the targets as the others
+// do.
+func livePeers(s *configsync.Syncer) []string {
+	var peers []string
+	for _, m := range s.Members() {
+		if (m.Alive || m.Listed) && !m.Draining && !strings.HasPrefix(m.Entry, seedPrefix) {
+			peers = append(peers, m.Entry)
+		}
+	}
+	return peers
+}
+
 // peerHandler serves the calls of other entries.
 type peerHandler struct {
 	engine *Engine
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -130,6 +130,7 @@
 	})
 	d.relay.SetEntries(relay.UnknownEntries)
 	d.wireSync(ports.Documents)
+	d.core.SetPeers(livePeers(d.syncer))
 	return d, d.wireServers(ports)
 }
 
@@ -254,6 +255,7 @@
 			return
 		case <-tick.C:
 			d.core.Expire()
+			d.core.SetPeers(livePeers(d.syncer))
 		case <-fitness.C:
 			d.relay.SetEntries(d.entryCount())
 			d.relay.CheckFit(d.otherZoneHeard())
