Let the entries of a cut zone turn callers away together

The zone is cut off from 33.5 to 39.4 s. With 14 entries each has one or two requests a second, and they turned away one after the other, between 35.0 and 38.4 s. The balancer uses all nodes of a zone while fewer than half are ready and other zones only when none is, so the callers stayed; 40 to 50 requests a second were refused there.

Ruled out: lowering the number of failed requests that proves it (one slow entry would send callers away), passing the word on (a single verdict would travel in circles).

Change: an entry that hears no other zone and finds by its own results that it cannot serve tells 12 entries of its zone at once, and the others in its exchanges. An entry that hears no other zone either follows, unless at least four requests of its own say otherwise. Silence counts after 1 s, two intervals of exchanges, not 1.5 s.

--- a/coordination/membership/choice.go
+++ b/coordination/membership/choice.go
@@ -119,6 +119,18 @@
 	return append(chosen, pick(rng, others, n-len(chosen))...)
 }
 
+// ZoneFanout returns up to n distinct live entries of the own zone.
+func (t *Table) ZoneFanout(now time.Time, rng *rand.Rand, n int) []Entry {
+	since := t.aliveSince(now)
+	var alive []Entry
+	for _, m := range t.order {
+		if m.Zone == t.self.Zone && m.aliveSince(since) {
+			alive = append(alive, m.Entry)
+		}
+	}
+	return pick(rng, alive, n)
+}
+
 // pick returns up to n elements at random. It reorders from.
 func pick[T any](rng *rand.Rand, from []T, n int) []T {
 	n = max(min(n, len(from)), 0)
--- a/coordination/readiness/readiness.go
+++ b/coordination/readiness/readiness.go
@@ -16,7 +16,7 @@
 // Settings tunes a Judge.
 type Settings struct {
 	// Silence is the time without news from another zone after which the entry may be
-	// cut off. The default is 1.5 s, three intervals of exchanges.
+	// cut off. The default is 1 s, two intervals of exchanges.
 	Silence time.Duration
 	// Window is the time over which results count. The default is 1 s.
 	Window time.Duration
@@ -29,11 +29,14 @@
 	// Retry is the time after which an entry that turned callers away asks for them
 	// again, whatever it hears. The default is 15 s.
 	Retry time.Duration
+	// ToldFor is the time for which the word of an entry of the same zone counts. The
+	// default is 2 s.
+	ToldFor time.Duration
 }
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Silence: 1500 * time.Millisecond, Window: time.Second, FailedPart: 0.5, MinRequests: 4, Retry: 15 * time.Second}
+	return Settings{Silence: time.Second, Window: time.Second, FailedPart: 0.5, MinRequests: 4, Retry: 15 * time.Second, ToldFor: 2 * time.Second}
 }
 
 // Judge holds what decides about the readiness of one entry. Create it with New.
@@ -45,6 +48,12 @@
 	unfit   bool
 	// since is the time at which the entry became unfit.
 	since time.Duration
+	// own is set while the entry is unfit by results of its own.
+	own bool
+	// told is the time of the last word of an entry of the same zone, meaningful when
+	// wasTold is set.
+	told    time.Duration
+	wasTold bool
 }
 
 // New returns a judge of an entry that is fit.
@@ -60,6 +69,15 @@
 	}
 }
 
+// Told records that an entry of the same zone is cut off by results of its own. With
+// many entries each has few requests, and would find out by itself only late; the
+// balancer sends callers to other zones when all entries of a zone turn away.
+func (j *Judge) Told(now time.Duration) { j.told, j.wasTold = now, true }
+
+// CutOff reports whether the entry is unfit by results of its own. Only such an entry
+// tells others, so that a single verdict does not travel in circles.
+func (j *Judge) CutOff() bool { return j.unfit && j.own }
+
 // Fit reports whether callers should come. heard is the time at which an entry of
 // another zone was last heard; known is false while no other zone is known.
 func (j *Judge) Fit(now, heard time.Duration, known bool) bool {
@@ -67,18 +85,26 @@
 	silent := known && now-heard > j.settings.Silence
 	switch {
 	case j.unfit && (!silent || now-j.since > j.settings.Retry):
-		j.unfit = false
+		j.unfit, j.own, j.wasTold = false, false, false
 		j.counts[0].failed, j.counts[1].failed = 0, 0
-	case !j.unfit && silent && j.failing():
+	case !j.unfit && silent && (j.failing() || j.wasTold && now-j.told <= j.settings.ToldFor && !j.serving()):
 		j.unfit, j.since = true, now
 	}
+	j.own = j.unfit && (j.own || j.failing())
 	return !j.unfit
 }
 
+// serving reports whether the entry's own results show that it can serve.
+func (j *Judge) serving() bool { return j.enough() && !j.failing() }
+
+func (j *Judge) enough() bool {
+	return j.counts[0].served+j.counts[1].served+j.counts[0].failed+j.counts[1].failed >= j.settings.MinRequests
+}
+
 func (j *Judge) failing() bool {
 	served := j.counts[0].served + j.counts[1].served
 	failed := j.counts[0].failed + j.counts[1].failed
-	return served+failed >= j.settings.MinRequests && float64(failed) > j.settings.FailedPart*float64(served+failed)
+	return j.enough() && float64(failed) > j.settings.FailedPart*float64(served+failed)
 }
 
 func (j *Judge) rotate(now time.Duration) {
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -171,6 +171,26 @@
 	is.True(b.Members()[0].Draining)
 }
 
+// Guards against entries of a cut zone that turn callers away one after the other: the
+// first to find out tells the others at once, and the word of another zone does not
+// count.
+func TestACutOffEntryTellsItsZoneAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.rounds, w.expiry = time.Hour, time.Hour
+	b := w.start(t, "b1") // Both are in zone-1.
+	a := w.start(t, "a1", "b1")
+	eventually(t, "the entries heard each other", func() bool {
+		return len(a.Members()) == 1 && a.Members()[0].Alive && len(b.Members()) == 1
+	})
+	is.True(b.ZoneCutOff().IsZero())
+	a.SetCutOff(true)
+	eventually(t, "the other entry of the zone is told", func() bool { return !b.ZoneCutOff().IsZero() })
+	_, err := a.HandleExchange(context.Background(), &peerpb.ExchangeRequest{Entry: "e2", Zone: "other", CutOff: true})
+	is.NoErr(err)
+	is.True(a.ZoneCutOff().IsZero())
+}
+
 // Guards against a platform that fails unseen: each failed read counts, those
 // of the host list included, and none counts while the platform answers.
 func TestFailedReadsOfThePlatformAreCounted(t *testing.T) {
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -21,6 +21,9 @@
 	newestFacts = maxFacts / 2
 	// maxMembersTaken bounds the members that are read from one message.
 	maxMembersTaken = 128
+	// zoneFanout is the number of entries of the own zone that are told at once of a cut.
+	// Several entries find out by themselves, so that a zone of 294 is reached too.
+	zoneFanout = 12
 	// newcomerKnows is the number of live entries below which a caller counts as a
 	// newcomer, which is told of all members at once. It needs the size of the fleet to
 	// know its share of connections.
@@ -51,6 +54,7 @@
 		Zone:        self.Zone,
 		Draining:    self.Draining || now.Before(s.yieldedUntil),
 		Address:     self.Address,
+		CutOff:      s.cutOff,
 		Quarantines: someFacts(s.rng, facts.Quarantines),
 		Crashes:     someFacts(s.rng, facts.Crashes),
 		Leaving:     someFacts(s.rng, facts.Leaving),
@@ -97,6 +101,7 @@
 	GetZone() string
 	GetAddress() string
 	GetDraining() bool
+	GetCutOff() bool
 	GetDocuments() []*peerpb.DocumentInfo
 	GetMembers() []*peerpb.Member
 	GetQuarantines() []*peerpb.Quarantine
@@ -116,6 +121,9 @@
 	}
 	s.mu.Lock()
 	s.table.Heard(now, now, sender)
+	if m.GetCutOff() && sender.Zone == s.cfg.Zone {
+		s.zoneCutOff = now
+	}
 	for i, k := range m.GetMembers() {
 		if i == maxMembersTaken {
 			break
@@ -180,7 +188,7 @@
 	m := s.message(!push, len(in.Members) < newcomerKnows)
 	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
 		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
-		Successions: m.Successions, Failing: m.Failing, Address: m.Address, Members: m.Members}, nil
+		Successions: m.Successions, Failing: m.Failing, CutOff: m.CutOff, Address: m.Address, Members: m.Members}, nil
 }
 
 // exchange tells a peer what this entry knows and learns what the peer knows. It
@@ -236,6 +244,13 @@
 			for _, peer := range peers {
 				start(peer, false)
 			}
+		case <-s.zoneNews:
+			s.mu.Lock()
+			peers := s.table.ZoneFanout(time.Now(), s.rng, zoneFanout)
+			s.mu.Unlock()
+			for _, peer := range peers {
+				start(peer, false)
+			}
 		case <-pause.C:
 			s.mu.Lock()
 			peer, ok := s.table.Peer(time.Now(), s.rng)
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -39,11 +39,12 @@
 	cut       map[[2]string]bool
 	damage    func(*peerpb.FetchReply)
 	rounds    time.Duration // Interval of exchanges.
+	expiry    time.Duration // Age at which entries stop counting as alive.
 }
 
 func newWorld() *world {
 	return &world{documents: map[string]platformapi.Document{}, published: make(chan struct{}), refuse: map[string]*status.Error{},
-		old: map[string]map[string]platformapi.Document{}, entries: map[string]*entryUnderTest{}, cut: map[[2]string]bool{}, rounds: 5 * time.Millisecond}
+		old: map[string]map[string]platformapi.Document{}, entries: map[string]*entryUnderTest{}, cut: map[[2]string]bool{}, rounds: 5 * time.Millisecond, expiry: 200 * time.Millisecond}
 }
 
 // publish puts a value on the platform.
@@ -217,7 +218,7 @@
 	t.Helper()
 	cfg := Config{Entry: id, Zone: "zone-" + id[len(id)-1:], Address: id, Incarnation: ids.NewIncarnation(),
 		ExchangeInterval: w.rounds, PollInterval: 50 * time.Millisecond, HostInterval: 50 * time.Millisecond,
-		WatchWait: 100 * time.Millisecond, MemberExpiry: 200 * time.Millisecond}
+		WatchWait: 100 * time.Millisecond, MemberExpiry: w.expiry}
 	for _, p := range peers {
 		if p != id {
 			cfg.Peers = append(cfg.Peers, Peer{Entry: p, Zone: "zone-" + p[len(p)-1:], Address: p})
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -39,6 +39,8 @@
 	// changed and news hold at most one pending signal.
 	changed chan struct{}
 	news    chan struct{}
+	// zoneNews holds at most one pending signal of news for the own zone.
+	zoneNews chan struct{}
 
 	// viewMu serializes updates of view.
 	viewMu sync.Mutex
@@ -50,6 +52,10 @@
 	// yieldedUntil is the time until which this entry leaves the watcher role to others.
 	yieldedUntil time.Time
 	started      time.Time
+	// cutOff is set while this entry is cut off from the other zones, and zoneCutOff is
+	// the time at which an entry of the same zone last told that it is.
+	cutOff     bool
+	zoneCutOff time.Time
 }
 
 // New returns a Syncer without documents. Run must be called once.
@@ -57,13 +63,14 @@
 	cfg = cfg.withDefaults()
 	self := membership.Entry{ID: cfg.Entry, Zone: cfg.Zone, Address: cfg.Address, Incarnation: cfg.Incarnation}
 	s := &Syncer{
-		cfg:     cfg,
-		deps:    deps,
-		store:   documents.New(cfg.Keys...),
-		offers:  make(map[string]*offerQueue, len(cfg.Keys)),
-		calls:   make(chan struct{}, maxExchanges),
-		changed: make(chan struct{}, 1),
-		news:    make(chan struct{}, 1),
+		cfg:      cfg,
+		deps:     deps,
+		store:    documents.New(cfg.Keys...),
+		offers:   make(map[string]*offerQueue, len(cfg.Keys)),
+		calls:    make(chan struct{}, maxExchanges),
+		changed:  make(chan struct{}, 1),
+		news:     make(chan struct{}, 1),
+		zoneNews: make(chan struct{}, 1),
 		table: membership.New(self, membership.Settings{
 			WatchersPerZone: cfg.WatchersPerZone,
 			Interval:        cfg.ExchangeInterval,
@@ -172,6 +179,26 @@
 	s.Spread()
 }
 
+// SetCutOff tells peers, those of the own zone at once, whether this entry is cut off
+// from the other zones.
+func (s *Syncer) SetCutOff(cutOff bool) {
+	s.mu.Lock()
+	began := cutOff && !s.cutOff
+	s.cutOff = cutOff
+	s.mu.Unlock()
+	if began {
+		signal(s.zoneNews)
+	}
+}
+
+// ZoneCutOff returns the time at which an entry of the own zone last told that it is
+// cut off from the other zones, zero for never.
+func (s *Syncer) ZoneCutOff() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.zoneCutOff
+}
+
 // Spread tells PushFanout peers at once of new facts or documents. It does not
 // wait.
 func (s *Syncer) Spread() { signal(s.news) }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -258,7 +258,7 @@
 			d.core.SetPeers(livePeers(d.syncer))
 		case <-fitness.C:
 			d.relay.SetEntries(d.entryCount())
-			d.relay.CheckFit(d.otherZoneHeard())
+			d.syncer.SetCutOff(d.relay.CheckFit(d.otherZoneHeard(), d.syncer.ZoneCutOff()))
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,15 +178,22 @@
 }
 
 // CheckFit decides anew whether callers should come. heard is the time at which an
-// entry of another zone was last heard, zero when no other zone is known.
-func (r *Relay) CheckFit(heard time.Time) {
+// entry of another zone was last heard, and told the one at which an entry of this zone
+// last told that it is cut off; both are zero for never. The result tells whether this
+// entry is cut off by results of its own.
+func (r *Relay) CheckFit(heard, told time.Time) (cutOff bool) {
 	r.mu.Lock()
+	if told.After(r.start) {
+		r.readiness.Told(told.Sub(r.start))
+	}
 	fit := r.readiness.Fit(time.Since(r.start), heard.Sub(r.start), !heard.IsZero())
+	cutOff = r.readiness.CutOff()
 	r.mu.Unlock()
 	if r.fit.Swap(fit) != fit {
-		r.cfg.Log.Warn().Bool("ready", fit).Time("other_zone_heard", heard).
+		r.cfg.Log.Warn().Bool("ready", fit).Time("other_zone_heard", heard).Time("zone_told", told).Bool("own_results", cutOff).
 			Msg("readiness changed: an entry that hears no other zone and cannot serve sends callers elsewhere")
 	}
+	return cutOff
 }
 
 // Limits returns the limits of callers in force, zero values before any are known.
