Count entries twice only while the whole fleet is young

A killed process leaves no connections: the system closes them.

Change: entries tell their age in the exchanges (uptime_ms), and each known entry counts twice only while none that was heard is older than 6 s.

Tests: TestYoungEntriesLeaveRoomForTheirPredecessors has the case of a restart among older entries; TestOldestPeerIsKnownFromTheFirstExchange.

--- a/coordination/connshare/subset.go
+++ b/coordination/connshare/subset.go
@@ -28,24 +28,28 @@
 	// connections, than there are places.
 	startEntries = 30
 	startPeriod  = time.Second
-	// predecessorPeriod is the age of a process up to which targets may still hold the
-	// connections of the process before it. After a loss of power nothing closes them;
+	// predecessorPeriod is the age of a fleet up to which targets may still hold the
+	// connections of the processes before it. After a loss of power nothing closes them;
 	// on the users' days resets over the cap went on for 6 s.
 	predecessorPeriod = 6 * time.Second
 )
 
 // Sharers returns the number of entries that share the places of the targets, for an
-// entry that knows of the given number and whose process has the given age. Each entry
-// counts twice while targets may hold the connections of its predecessor. A single
-// entry shares with nobody.
-func Sharers(entries int, age time.Duration) int {
-	switch {
-	case entries <= 1 || age >= predecessorPeriod:
+// entry that knows of the given number. age is that of its own process, and fleetAge
+// the highest of the processes that it heard of, its own included. Each entry counts
+// twice while the whole fleet is young, because then targets may hold the connections
+// of all processes before. A single entry shares with nobody.
+func Sharers(entries int, age, fleetAge time.Duration) int {
+	if entries <= 1 {
 		return entries
-	case age < startPeriod:
-		return max(2*entries, startEntries)
 	}
-	return 2 * entries
+	if fleetAge < predecessorPeriod {
+		entries *= 2
+	}
+	if age < startPeriod {
+		return max(entries, startEntries)
+	}
+	return entries
 }
 
 // Member is a target of a group.
--- a/coordination/connshare/subset_test.go
+++ b/coordination/connshare/subset_test.go
@@ -50,7 +50,7 @@
 func TestYoungEntriesLeaveRoomForTheirPredecessors(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct{ limit, entries int }{{31, 9}, {66, 68}, {77, 90}, {66, 30}} {
-		sharers := Sharers(c.entries, 2*time.Second)
+		sharers := Sharers(c.entries, 2*time.Second, 2*time.Second)
 		old, young := connections(c.limit, c.entries), connectionsShared(c.limit, c.entries, sharers)
 		size := SubsetSize(c.limit, 3, sharers)
 		least := size == 1 && SubsetShare(c.limit, 3, size, sharers) == 1
@@ -59,9 +59,10 @@
 			is.True(old[id]+young[id] <= c.limit || least)
 		}
 	}
-	is.Equal(Sharers(68, predecessorPeriod), 68)
-	is.Equal(Sharers(2, 0), startEntries)
-	is.Equal(Sharers(1, 0), 1)
+	is.Equal(Sharers(68, predecessorPeriod, predecessorPeriod), 68)
+	is.Equal(Sharers(68, 2*time.Second, time.Hour), 68) // Others are older: a restart, which closes connections.
+	is.Equal(Sharers(2, 0, time.Hour), startEntries)
+	is.Equal(Sharers(1, 0, 0), 1)
 }
 
 // Guards against subsets that move when another target comes or goes.
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -191,6 +191,21 @@
 	is.True(a.ZoneCutOff().IsZero())
 }
 
+// Guards against an entry that takes a restart of its own for one of the whole fleet.
+func TestOldestPeerIsKnownFromTheFirstExchange(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	w.rounds = time.Hour
+	a := w.start(t, "e0")
+	is.True(a.OldestPeer().IsZero())
+	for _, up := range []int64{60_000, 1_000} {
+		_, err := a.HandleExchange(context.Background(), &peerpb.ExchangeRequest{Entry: "e1", Zone: "z", UptimeMs: up})
+		is.NoErr(err)
+	}
+	age := time.Since(a.OldestPeer())
+	is.True(age > 59*time.Second && age < 2*time.Minute)
+}
+
 // Guards against a platform that fails unseen: each failed read counts, those
 // of the host list included, and none counts while the platform answers.
 func TestFailedReadsOfThePlatformAreCounted(t *testing.T) {
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -55,6 +55,7 @@
 		Draining:    self.Draining || now.Before(s.yieldedUntil),
 		Address:     self.Address,
 		CutOff:      s.cutOff,
+		UptimeMs:    now.Sub(s.started).Milliseconds(),
 		Quarantines: someFacts(s.rng, facts.Quarantines),
 		Crashes:     someFacts(s.rng, facts.Crashes),
 		Leaving:     someFacts(s.rng, facts.Leaving),
@@ -102,6 +103,7 @@
 	GetAddress() string
 	GetDraining() bool
 	GetCutOff() bool
+	GetUptimeMs() int64
 	GetDocuments() []*peerpb.DocumentInfo
 	GetMembers() []*peerpb.Member
 	GetQuarantines() []*peerpb.Quarantine
@@ -121,6 +123,9 @@
 	}
 	s.mu.Lock()
 	s.table.Heard(now, now, sender)
+	if up := time.Duration(m.GetUptimeMs()) * time.Millisecond; up > 0 && (s.oldestPeer.IsZero() || now.Add(-up).Before(s.oldestPeer)) {
+		s.oldestPeer = now.Add(-up)
+	}
 	if m.GetCutOff() && sender.Zone == s.cfg.Zone {
 		s.zoneCutOff = now
 	}
@@ -188,7 +193,7 @@
 	m := s.message(!push, len(in.Members) < newcomerKnows)
 	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
 		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
-		Successions: m.Successions, Failing: m.Failing, CutOff: m.CutOff, Address: m.Address, Members: m.Members}, nil
+		Successions: m.Successions, Failing: m.Failing, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Address: m.Address, Members: m.Members}, nil
 }
 
 // exchange tells a peer what this entry knows and learns what the peer knows. It
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -56,6 +56,8 @@
 	// the time at which an entry of the same zone last told that it is.
 	cutOff     bool
 	zoneCutOff time.Time
+	// oldestPeer is the earliest start of an entry that told its age, zero for none.
+	oldestPeer time.Time
 }
 
 // New returns a Syncer without documents. Run must be called once.
@@ -199,6 +201,14 @@
 	return s.zoneCutOff
 }
 
+// OldestPeer returns the earliest start of the other entries that were heard, zero for
+// none.
+func (s *Syncer) OldestPeer() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.oldestPeer
+}
+
 // Spread tells PushFanout peers at once of new facts or documents. It does not
 // wait.
 func (s *Syncer) Spread() { signal(s.news) }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -128,7 +128,7 @@
 			Window:  seconds(set.RepeatWindowS),
 		},
 	})
-	d.relay.SetEntries(relay.UnknownEntries)
+	d.relay.SetEntries(relay.UnknownEntries, time.Time{})
 	d.wireSync(ports.Documents)
 	d.core.SetPeers(livePeers(d.syncer))
 	return d, d.wireServers(ports)
@@ -257,7 +257,7 @@
 			d.core.Expire()
 			d.core.SetPeers(livePeers(d.syncer))
 		case <-fitness.C:
-			d.relay.SetEntries(d.entryCount())
+			d.relay.SetEntries(d.entryCount(), d.syncer.OldestPeer())
 			d.syncer.SetCutOff(d.relay.CheckFit(d.otherZoneHeard(), d.syncer.ZoneCutOff()))
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,6 +82,8 @@
 	readiness *readiness.Judge
 	// entries is the number of entries that share the targets. Guarded by mu.
 	entries int
+	// fleetStart is the earliest start of an entry that this one heard of. Guarded by mu.
+	fleetStart time.Time
 	// sharing is the number that the plan in force was made with. Guarded by mu.
 	sharing int
 	// draws counts the choices among the parts of each split. Guarded by mu.
@@ -97,6 +99,7 @@
 		entries:   1,
 		draws:     make(map[string]*atomic.Uint64),
 	}
+	r.fleetStart = r.start
 	r.fit.Store(true)
 	r.aborted, r.abort = context.WithCancel(context.Background())
 	return r
@@ -109,11 +112,14 @@
 	r.replan(s, t)
 }
 
-// SetEntries tells how many entries share the connections to the targets. It is
-// called again and again.
-func (r *Relay) SetEntries(n int) {
+// SetEntries tells how many entries share the connections to the targets, and when the
+// oldest of the others started, zero while none was heard. It is called again and again.
+func (r *Relay) SetEntries(n int, oldest time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !oldest.IsZero() && oldest.Before(r.fleetStart) {
+		r.fleetStart = oldest
+	}
 	if r.entries == n && r.sharing == r.sharers() {
 		return
 	}
@@ -134,7 +140,7 @@
 // sharers returns the number of entries that share the connections to targets. mu
 // must be held.
 func (r *Relay) sharers() int {
-	return connshare.Sharers(r.entries, time.Since(r.start))
+	return connshare.Sharers(r.entries, time.Since(r.start), time.Since(r.fleetStart))
 }
 
 // publish tells the engine and the connections about a plan. mu must be held.
