--- a/internal/engine/lone.go
+++ b/internal/engine/lone.go
@@ -12,7 +12,7 @@
 // one target that crashes cannot be told apart. It is safe for concurrent use.
 type loneRuns struct {
 	entry string
-	// some is the number of lone runs, read before busy to spare the lock.
+	// some is the number of lone runs, read first to spare each attempt the lock.
 	some atomic.Int64
 
 	mu sync.Mutex
@@ -85,9 +85,6 @@
 
 // among returns those of the targets that have a lone run.
 func (l *loneRuns) among(targets []string) []string {
-	if l.some.Load() == 0 {
-		return nil
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var busy []string
@@ -135,6 +132,9 @@
 // chooseApart is choose for an attempt that keeps clear of the targets of lone runs
 // where another target of the shard allows it.
 func (e *Engine) chooseApart(req *Request, targets []string, shard int, exclude []string) (string, bool) {
+	if e.lone.some.Load() == 0 {
+		return e.choose(req, targets, shard, exclude)
+	}
 	if busy := e.lone.among(e.candidates(req, targets, shard)); len(busy) > 0 {
 		if target, ok := e.choose(req, targets, shard, slices.Concat(exclude, busy)); ok {
 			return target, true
