Take an entry for cut off after 1.5 s of silence again

Ruled out: the word of the zone alone (an entry follows only when it hears no other zone itself).

Change: the silence is three intervals of exchanges again.

--- a/coordination/readiness/readiness.go
+++ b/coordination/readiness/readiness.go
@@ -16,7 +16,8 @@
 // Settings tunes a Judge.
 type Settings struct {
 	// Silence is the time without news from another zone after which the entry may be
-	// cut off. The default is 1 s, two intervals of exchanges.
+	// cut off. The default is 1.5 s, three intervals of exchanges. With 1 s, entries
+	// of every zone took themselves for cut off for a moment after a loss of power.
 	Silence time.Duration
 	// Window is the time over which results count. The default is 1 s.
 	Window time.Duration
@@ -36,7 +37,7 @@
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Silence: time.Second, Window: time.Second, FailedPart: 0.5, MinRequests: 4, Retry: 15 * time.Second, ToldFor: 2 * time.Second}
+	return Settings{Silence: 1500 * time.Millisecond, Window: time.Second, FailedPart: 0.5, MinRequests: 4, Retry: 15 * time.Second, ToldFor: 2 * time.Second}
 }
 
 // Judge holds what decides about the readiness of one entry. Create it with New.
