--- a/internal/load/cli.go
+++ b/internal/load/cli.go
@@ -8,13 +8,15 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 // Commands is the command line of balsam-load.
 type Commands struct {
-	Demo  DemoCommand  `cmd:"" help:"Send the demo queries through three entries and check the answers."`
-	Run   RunCommand   `cmd:"" help:"Send open-loop load and check every answer."`
-	Bench BenchCommand `cmd:"" help:"Compare two fleets, with the policies off and on, through the scenarios."`
+	Demo   DemoCommand   `cmd:"" help:"Send the demo queries through three entries and check the answers."`
+	Run    RunCommand    `cmd:"" help:"Send open-loop load and check every answer."`
+	Bench  BenchCommand  `cmd:"" help:"Compare two fleets, with the policies off and on, through the scenarios."`
+	Report ReportCommand `cmd:"" help:"Draw latency, coverage, load and outcomes over time."`
 }
 
 // DemoCommand is "balsam-load demo".
@@ -241,3 +243,45 @@
 	}
 	return err
 }
+
+// ReportCommand is "balsam-load report".
+type ReportCommand struct {
+	Histories []string      `arg:"" help:"History files of runs, drawn as one run." name:"history"`
+	Out       string        `help:"SVG file to write." default:"out/report.svg"`
+	Interval  time.Duration `help:"Length of the interval of one point." default:"1s"`
+}
+
+// Help implements kong.HelpProvider.
+func (*ReportCommand) Help() string {
+	return "Example:\n\n  balsam-load run --settings load.json --history out/history.jsonl\n" +
+		"  balsam-load report out/history.jsonl --out out/report.svg --interval 500ms\n\n" +
+		"Times of several histories count from the start of each run. Exit codes: 0 written, 1 a failure, 2 bad usage or a faulty history."
+}
+
+// Run runs the command.
+func (c *ReportCommand) Run(_ context.Context, out cli.Output) error {
+	var all []*Observation
+	for _, path := range c.Histories {
+		observations, err := ReadHistory(path)
+		if err != nil {
+			return &cli.UsageError{Message: err.Error()}
+		}
+		all = append(all, observations...)
+	}
+	if len(all) == 0 {
+		return &cli.UsageError{Message: "the histories hold no sends"}
+	}
+	points, err := Timeline(all, c.Interval)
+	if err != nil {
+		return &cli.UsageError{Message: err.Error()}
+	}
+	file, err := os.Create(c.Out)
+	if err != nil {
+		return status.Wrap(err, status.Unavailable, "", "create the report")
+	}
+	if err := errors.Join(WritePlots(file, points, c.Interval), file.Close()); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%s: %d sends in %d intervals of %s\n", c.Out, len(all), len(points), c.Interval)
+	return err
+}
