--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -4,7 +4,8 @@
 // A request that coincides with a crash is suspected. It runs again only alone,
 // in one attempt on a target that it has not met. If that target crashes too,
 // the request is refused for a period; if that target answers, the request is
-// cleared. Only a run that was alone convicts, so the loss of a rack does not
+// cleared. A request that another target answered in the same run is refused after
+// two such crashes. Only a run that was alone convicts, so the loss of a rack does not
 // refuse the requests that were spread over it.
 //
 // All times are on the monotonic clock of the process that owns the detector.
