Wait until both entries watch again in the test of the watcher role

The test went on when one entry had taken the role back. The other, still in its pause after a failure, took it back for the first time after the second outage, which is allowed, and the last check then saw an entry that watches.

Ruled out: a second early return of one entry within 8 s (the two returns were of two entries: each has a limit of its own).

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -243,7 +243,7 @@
 	fail(down)
 	eventually(t, "both entries leave the role to others", yielded)
 	fail(nil)
-	eventually(t, "an entry watches again", func() bool { return !yielded() })
+	eventually(t, "both entries watch again", func() bool { return fleet[0].Watching() && fleet[1].Watching() })
 	w.publish(platformapi.SheetKey, sheetOf(2, "b"))
 	eventually(t, "the change is in force", func() bool { return fleet[0].revision() == 2 && fleet[1].revision() == 2 })
 	fail(down)
