Send attempts in one place and name what chooses their target

Behaviour, bounds and assertions stay.

- The engine sent an attempt and took note of its end in two functions with the same lines, and chose between lone and other runs in two places: send and chooseKeptApart serve both.
An attempt's result held its target twice.
- What a message tells about the sender's age has a function of its own.
- readiness summed its results twice; failing.Set had two ways to record a failure, one of them used by tests only.
- A history's reader tested for an error that a scanner does not return.

Left: defaults of membership and peerrpc that look alike, fault commands of the two stand-ins, the fields that request and reply of an exchange share.

--- a/coordination/failing/failing.go
+++ b/coordination/failing/failing.go
@@ -42,11 +42,9 @@
 // NewSet returns an empty set.
 func NewSet() *Set { return &Set{at: make(map[string]time.Duration)} }
 
-// Add records a failure of this entry's own.
-func (s *Set) Add(target string, now time.Duration) { s.Learn(Report{Target: target}, now) }
-
-// Learn records a failure that a peer told. It reports whether the target did not
-// count as failing before. Ages that cannot be, or are too old, are left out.
+// Learn records a failure: one that a peer told, or this entry's own with the age zero. It
+// reports whether the target did not count as failing before. Ages that cannot be, or are
+// too old, are left out.
 func (s *Set) Learn(r Report, now time.Duration) bool {
 	if r.Age < 0 || r.Age >= Period {
 		return false
--- a/coordination/failing/failing_test.go
+++ b/coordination/failing/failing_test.go
@@ -19,8 +19,8 @@
 func TestFailuresExpireAndTheLastComesFirst(t *testing.T) {
 	is := is.New(t)
 	s := failing.NewSet()
-	s.Add("t1", 0)
-	s.Add("t2", 500*ms)
+	s.Learn(failing.Report{Target: "t1"}, 0)
+	s.Learn(failing.Report{Target: "t2"}, 500*ms)
 	is.True(s.Has("t1", failing.Period-1))
 	is.True(!s.Has("t1", failing.Period))
 	is.Equal(s.Reports(time.Second), []failing.Report{{Target: "t2", Age: 500 * ms}, {Target: "t1", Age: time.Second}})
@@ -37,7 +37,7 @@
 		for range 10 {
 			b.Learn(failing.Report{Target: rapid.StringN(0, 2, 2).Draw(t, "target"), Age: time.Duration(rapid.Int64().Draw(t, "age"))}, now)
 		}
-		a.Add("t1", now)
+		a.Learn(failing.Report{Target: "t1"}, now)
 		end := now + failing.Period
 		for ; now < end; now += 50 * ms {
 			for _, r := range a.Reports(now) {
@@ -54,7 +54,7 @@
 	})
 	s := failing.NewSet()
 	for n := range 20_000 {
-		s.Add(fmt.Sprint(n), 0)
+		s.Learn(failing.Report{Target: fmt.Sprint(n)}, 0)
 	}
 	is.New(t).True(s.Len() <= 8192)
 }
@@ -116,7 +116,7 @@
 					attempts++
 					if bad[target] && r.Float64() < 0.5 {
 						lost++
-						set.Add(target, now)
+						set.Learn(failing.Report{Target: target}, now)
 					}
 				}
 				if peer := r.IntN(entries); tell && r.Float64() < step.Seconds()/exchange.Seconds() {
@@ -132,7 +132,7 @@
 func BenchmarkHas(b *testing.B) {
 	s := failing.NewSet()
 	for n := range 1000 {
-		s.Add(fmt.Sprint(n), 0)
+		s.Learn(failing.Report{Target: fmt.Sprint(n)}, 0)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
@@ -142,7 +142,7 @@
 
 func ExampleSet() {
 	here, there := failing.NewSet(), failing.NewSet()
-	there.Add("i-7309", time.Second)
+	there.Learn(failing.Report{Target: "i-7309"}, time.Second)
 	for _, r := range there.Reports(1200 * ms) {
 		here.Learn(r, 1200*ms)
 	}
--- a/coordination/readiness/readiness.go
+++ b/coordination/readiness/readiness.go
@@ -95,17 +95,25 @@
 	return !j.unfit
 }
 
-// serving reports whether the entry's own results show that it can serve.
-func (j *Judge) serving() bool { return j.enough() && !j.failing() }
+// failing and serving report whether the entry's own results show that it cannot, or
+// can, serve. With few requests neither holds.
+func (j *Judge) failing() bool {
+	failed, all := j.results()
+	return all >= j.settings.MinRequests && float64(failed) > j.settings.FailedPart*float64(all)
+}
 
-func (j *Judge) enough() bool {
-	return j.counts[0].served+j.counts[1].served+j.counts[0].failed+j.counts[1].failed >= j.settings.MinRequests
+func (j *Judge) serving() bool {
+	_, all := j.results()
+	return all >= j.settings.MinRequests && !j.failing()
 }
 
-func (j *Judge) failing() bool {
-	served := j.counts[0].served + j.counts[1].served
-	failed := j.counts[0].failed + j.counts[1].failed
-	return j.enough() && float64(failed) > j.settings.FailedPart*float64(served+failed)
+// results counts the requests of both windows.
+func (j *Judge) results() (failed, all int) {
+	for _, c := range j.counts {
+		failed += c.failed
+		all += c.served + c.failed
+	}
+	return failed, all
 }
 
 func (j *Judge) rotate(now time.Duration) {
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -123,9 +123,7 @@
 	}
 	s.mu.Lock()
 	s.table.Heard(now, now, sender)
-	if up := time.Duration(m.GetUptimeMs()) * time.Millisecond; up > 0 && (s.oldestPeer.IsZero() || now.Add(-up).Before(s.oldestPeer)) {
-		s.oldestPeer = now.Add(-up)
-	}
+	s.learnStart(now, time.Duration(m.GetUptimeMs())*time.Millisecond)
 	if m.GetCutOff() && sender.Zone == s.cfg.Zone {
 		s.zoneCutOff = now
 	}
@@ -147,6 +145,15 @@
 	}
 }
 
+// learnStart takes the age of a peer's process, zero when it tells none. The caller holds
+// mu.
+func (s *Syncer) learnStart(now time.Time, uptime time.Duration) {
+	started := now.Add(-uptime)
+	if uptime > 0 && (s.oldestPeer.IsZero() || started.Before(s.oldestPeer)) {
+		s.oldestPeer = started
+	}
+}
+
 // described is an entry in a message.
 type described interface {
 	GetEntry() string
--- a/internal/configsync/settle_test.go
+++ b/internal/configsync/settle_test.go
@@ -77,8 +77,12 @@
 	oneBack     = `{"revision":9,"targets":[{"id":"a","group":"g","address":"127.0.0.1:1","zone":"z","slots":1}]}`
 )
 
-func startSettling(t *testing.T, p *scriptedPlatform, changes chan<- int) {
+// startSettling starts an entry on a platform that shows the given list of targets, and
+// returns the numbers of targets that come into force.
+func startSettling(t *testing.T, targets string) (*scriptedPlatform, <-chan int) {
 	t.Helper()
+	p, changes := &scriptedPlatform{}, make(chan int, 16)
+	p.set(5, targets, false)
 	s := New(Config{
 		Keys: []string{platformapi.TargetsKey}, Entry: "e", Zone: "z", Address: "127.0.0.1:9", Incarnation: ids.NewIncarnation(),
 		WatchWait: 20 * time.Millisecond, MaxBackoff: 20 * time.Millisecond, PollInterval: time.Hour, Lossless: true,
@@ -91,16 +95,14 @@
 	done := make(chan struct{})
 	go func() { defer close(done); s.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
+	return p, changes
 }
 
 // Guards against an empty target list after an outage of the platform during which
 // the registrations lapsed: those that come back are taken over together.
 func TestLapsedEntriesAreNotTakenForGone(t *testing.T) {
 	is := is.New(t)
-	p := &scriptedPlatform{}
-	p.set(5, twoTargets, false)
-	changes := make(chan int, 16)
-	startSettling(t, p, changes)
+	p, changes := startSettling(t, twoTargets)
 	is.Equal(<-changes, 2)
 	p.set(5, twoTargets, true)
 	time.Sleep(300 * time.Millisecond)
@@ -114,10 +116,7 @@
 // however long its watches wait: a leaving target would get work for too long.
 func TestQuietPlatformIsNoOutage(t *testing.T) {
 	is := is.New(t)
-	p := &scriptedPlatform{}
-	p.set(5, fourTargets, false)
-	changes := make(chan int, 16)
-	startSettling(t, p, changes)
+	p, changes := startSettling(t, fourTargets)
 	is.Equal(<-changes, 4)
 	time.Sleep(300 * time.Millisecond) // Many watches without news.
 	p.set(8, strings.Replace(threeBack, ":9,", ":8,", 1), false)
@@ -130,10 +129,7 @@
 // outage, and so has not seen it: most targets vanish at once.
 func TestLapseIsSeenWithoutTheOutage(t *testing.T) {
 	is := is.New(t)
-	p := &scriptedPlatform{}
-	p.set(5, fourTargets, false)
-	changes := make(chan int, 16)
-	startSettling(t, p, changes)
+	p, changes := startSettling(t, fourTargets)
 	is.Equal(<-changes, 4)
 	p.set(8, noTargets, false)
 	time.Sleep(50 * time.Millisecond)
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -92,11 +92,7 @@
 		exclude = slices.Concat(s.tried, q.avoid)
 	}
 	alone := i == q.trial
-	choose := q.engine.chooseApart
-	if alone {
-		choose = q.engine.chooseAlone
-	}
-	target, ok := choose(q.req, q.snapshot.Shards[s.shard], s.shard, exclude)
+	target, ok := q.engine.chooseKeptApart(q.req, q.snapshot.Shards[s.shard], s.shard, exclude, alone)
 	if !ok {
 		return false
 	}
@@ -106,7 +102,7 @@
 	q.attempts++
 	q.trace.began(s.shard, target, cause)
 	go q.engine.attempt(s.ctx, q.req, q.results, attemptResult{
-		round: q.round, sub: i, target: target,
+		round: q.round, sub: i,
 		run: quarantine.Run{Target: target, Alone: alone, Proven: q.accepted > 0},
 	}, Attempt{
 		Number:      q.attempts,
@@ -121,15 +117,7 @@
 
 // attempt sends one attempt and reports its result.
 func (e *Engine) attempt(ctx context.Context, req *Request, results chan<- attemptResult, r attemptResult, a Attempt) {
-	token := e.policy.start(req, a.Shard, r.target)
-	r.reply, r.err = req.Work.Send(ctx, a)
-	if r.run.Alone {
-		e.lone.end(r.target)
-	}
-	e.policy.finish(token, classOf(r.err), refusedConnection(r.err))
-	e.metrics.attempt(r.err)
-	e.noteFailure(r.target, req.ID, r.err)
-	e.noteBrokenOff(r.target, req.ID, r.err)
+	r.reply, r.err = e.send(ctx, req, a, r.run.Alone)
 	if req.Pools != nil {
 		// The next attempt does not wait for the connection that tells a crash from a
 		// lost reply.
@@ -142,6 +130,20 @@
 	results <- r
 }
 
+// send sends one attempt, whose target chooseKeptApart chose, and takes note of its end.
+func (e *Engine) send(ctx context.Context, req *Request, a Attempt, alone bool) (reply any, err error) {
+	token := e.policy.start(req, a.Shard, a.Target)
+	reply, err = req.Work.Send(ctx, a)
+	if alone {
+		e.lone.end(a.Target)
+	}
+	e.policy.finish(token, classOf(err), refusedConnection(err))
+	e.metrics.attempt(err)
+	e.noteFailure(a.Target, req.ID, err)
+	e.noteBrokenOff(a.Target, req.ID, err)
+	return reply, err
+}
+
 // handle takes the result of an attempt.
 func (q *query) handle(ctx context.Context, r attemptResult) {
 	if r.err == nil || status.From(r.err).Outcome != status.NotRun {
@@ -152,7 +154,7 @@
 	}
 	s := &q.subs[r.sub]
 	s.outstanding--
-	q.trace.ended(s.shard, r.target, r.err)
+	q.trace.ended(s.shard, r.run.Target, r.err)
 	if mayHaveArrived(r.err) {
 		s.arrived++
 	}
@@ -181,7 +183,7 @@
 	q.note(s, reasonOf(code))
 	if code == status.ConnectionSilent {
 		// The target works; only the connection is to blame.
-		s.tried = slices.DeleteFunc(s.tried, func(t string) bool { return t == r.target })
+		s.tried = slices.DeleteFunc(s.tried, func(t string) bool { return t == r.run.Target })
 		s.fresh = true
 	}
 	reason := reasonOf(code)
--- a/internal/engine/lone.go
+++ b/internal/engine/lone.go
@@ -129,6 +129,15 @@
 	e.lone.setEntries(append(slices.Clone(peers), e.self.Entry))
 }
 
+// chooseKeptApart is choose with requests that run alone kept apart from the others. The
+// attempt must be sent with send, which ends a lone run.
+func (e *Engine) chooseKeptApart(req *Request, targets []string, shard int, exclude []string, alone bool) (string, bool) {
+	if alone {
+		return e.chooseAlone(req, targets, shard, exclude)
+	}
+	return e.chooseApart(req, targets, shard, exclude)
+}
+
 // chooseApart is choose for an attempt that keeps clear of the targets of lone runs
 // where another target of the shard allows it.
 func (e *Engine) chooseApart(req *Request, targets []string, shard int, exclude []string) (string, bool) {
@@ -143,8 +152,7 @@
 	return e.choose(req, targets, shard, exclude)
 }
 
-// chooseAlone picks a target for a lone run and records the run, which must be ended
-// with lone.end. It prefers the targets of this entry, then any without a lone run.
+// chooseAlone picks a target for a lone run and records the run. It prefers the targets of this entry, then any without a lone run.
 // Without such a target it shares one, because the shard would be missed.
 func (e *Engine) chooseAlone(req *Request, targets []string, shard int, exclude []string) (string, bool) {
 	foreign := e.lone.foreign(e.candidates(req, targets, shard))
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -45,31 +45,24 @@
 	e.policy.planned(req, 1)
 	tried, arrived := guarded.avoid, false
 	var last error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
-	choose := e.chooseApart
-	if guarded.alone {
-		choose = e.chooseAlone
-	}
 	for number := uint32(1); number <= maxAttempts; number++ {
 		if arrived && req.Pools != nil && !e.policy.allowRetry(req, shard) {
 			break
 		}
-		target, ok := choose(req, chosen.Shards[shard], shard, tried)
+		target, ok := e.chooseKeptApart(req, chosen.Shards[shard], shard, tried, guarded.alone)
 		if !ok && number == 1 {
 			// Every replica crashed with this request before. The crash guard bounds
 			// how often it may run here again.
-			target, ok = choose(req, chosen.Shards[shard], shard, nil)
+			target, ok = e.chooseKeptApart(req, chosen.Shards[shard], shard, nil, guarded.alone)
 		}
 		if !ok {
 			break
 		}
 		tried = append(tried, target)
 		t.began(shard, target, "")
-		reply, err := e.attemptOnce(ctx, req, Attempt{
+		reply, err := e.send(ctx, req, Attempt{
 			Number: number, Shard: shard, Target: target, Snapshot: chosen.Snapshot, Once: true, Fresh: true,
-		})
-		if guarded.alone {
-			e.lone.end(target)
-		}
+		}, guarded.alone)
 		t.ended(shard, target, err)
 		guarded.attempted(target, err)
 		if err == nil {
@@ -90,16 +83,6 @@
 	return nil, &se
 }
 
-func (e *Engine) attemptOnce(ctx context.Context, req *Request, a Attempt) (any, error) {
-	token := e.policy.start(req, a.Shard, a.Target)
-	reply, err := req.Work.Send(ctx, a)
-	e.policy.finish(token, classOf(err), refusedConnection(err))
-	e.metrics.attempt(err)
-	e.noteFailure(a.Target, req.ID, err)
-	e.noteBrokenOff(a.Target, req.ID, err)
-	return reply, err
-}
-
 // onceGuard relates the attempts of one request to crashes of targets.
 type onceGuard struct {
 	engine *Engine
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -110,11 +110,10 @@
 }
 
 type attemptResult struct {
-	round  int
-	sub    int
-	target string
-	reply  any
-	err    error
+	round int
+	sub   int
+	reply any
+	err   error
 	// run describes the attempt to the crash guard.
 	run quarantine.Run
 	// crashed is set when the target crashed during the attempt, and refused
--- a/internal/load/history.go
+++ b/internal/load/history.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"io"
 	"os"
 	"time"
 
@@ -39,7 +38,7 @@
 		}
 		observations = append(observations, o)
 	}
-	if err := lines.Err(); err != nil && err != io.EOF {
+	if err := lines.Err(); err != nil {
 		return nil, status.Wrap(err, status.InvalidArgument, "", "read the history %s", path)
 	}
 	return observations, nil
