Send nothing to targets that say that they leave or ask for time

An answer with Server-Leaving was treated as any other, and the time in a server's 503 only reached the caller: up to 30 requests went to such a server in the new tests. Ruled out: a mark of 30 s as for other evidence, because servers may live longer; telling peers of times asked, because the server asked one entry. Change: coordination/notice holds both, by incarnation; the choice of targets, the plan of a search and each send on a ready connection ask it; entries tell each other, also over the hop. A service whose targets are all closed is refused at once with their time.

--- a/internal/engine/catalogue.go
+++ b/internal/engine/catalogue.go
@@ -44,6 +44,9 @@
 // CatalogueTarget describes a target to the load policies.
 type CatalogueTarget struct {
 	ID string
+	// Started is the Unix time of its start in milliseconds, zero when not known. ID and
+	// Started name the incarnation.
+	Started int64
 	// Zone is the target's availability zone.
 	Zone  string
 	Slots int
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,7 +70,7 @@
 	// guard is nil when the load policies are off.
 	guard   *crashGuard
 	lone    *loneRuns
-	leaving *leavingSet
+	notices *notices
 	failing *failingSet
 	spread  func()
 	verify  func()
@@ -85,7 +85,7 @@
 
 // New returns an engine without services.
 func New(cfg Config) *Engine {
-	leaving, failing := newLeavingSet(), newFailingSet()
+	notices, failing := newNotices(), newFailingSet()
 	if cfg.Spread == nil {
 		cfg.Spread = func() {}
 	}
@@ -95,10 +95,10 @@
 	if cfg.Audit == nil {
 		cfg.Audit = audit.New(zerolog.Nop())
 	}
-	var p policy = &baseline{self: cfg.Self, leaving: leaving}
+	var p policy = &baseline{self: cfg.Self, notices: notices}
 	var guard *crashGuard
 	if cfg.PolicyOn {
-		p = newLoaded(cfg.Self, leaving, failing)
+		p = newLoaded(cfg.Self, notices, failing)
 		guard = newCrashGuard(cfg.Self, cfg.GuardKey)
 	}
 	e := &Engine{
@@ -108,7 +108,7 @@
 		policy:  p,
 		guard:   guard,
 		lone:    newLoneRuns(cfg.Self.Entry),
-		leaving: leaving,
+		notices: notices,
 		failing: failing,
 		metrics: cfg.Metrics,
 		spread:  cfg.Spread,
@@ -122,6 +122,7 @@
 
 // SetCatalogue tells which services and targets exist.
 func (e *Engine) SetCatalogue(c *Catalogue) {
+	e.notices.setListed(c.Targets, e.self.Clock())
 	e.policy.setCatalogue(c)
 	e.lone.setTargets(c.Targets)
 }
@@ -141,9 +142,6 @@
 // WatchPauses looks for pauses of the process until ctx ends.
 func (e *Engine) WatchPauses(ctx context.Context) { e.pause.run(ctx) }
 
-// Expire forgets targets that no longer count as leaving.
-func (e *Engine) Expire() { e.leaving.expire(e.self.Clock()) }
-
 // Fingerprint identifies equal requests. It is zero when the crash guard is off.
 func (e *Engine) Fingerprint(workspace, service, query string) quarantine.Fingerprint {
 	if e.guard == nil {
@@ -167,14 +165,6 @@
 	}
 }
 
-// LeavingTargets returns the targets that get no new work and the time left.
-func (e *Engine) LeavingTargets() map[string]time.Duration {
-	return e.leaving.remaining(e.self.Clock())
-}
-
-// Leaving reports whether a target gets no new work.
-func (e *Engine) Leaving(target string) bool { return e.leaving.has(target, e.self.Clock()) }
-
 // Report takes a target's own report of its load.
 func (e *Engine) Report(target string, r *targetapi.Status) { e.policy.report(target, r) }
 
--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -35,7 +35,7 @@
 // loaded is the policy with all load policies.
 type loaded struct {
 	self     Identity
-	leaving  *leavingSet
+	notices  *notices
 	failing  *failingSet
 	settings *replica.Settings
 	ramp     rampup.Settings
@@ -77,10 +77,10 @@
 	admission *admission.Service
 }
 
-func newLoaded(self Identity, leaving *leavingSet, failing *failingSet) *loaded {
+func newLoaded(self Identity, notices *notices, failing *failingSet) *loaded {
 	return &loaded{
 		self:      self,
-		leaving:   leaving,
+		notices:   notices,
 		failing:   failing,
 		settings:  replica.DefaultSettings(),
 		ramp:      rampup.DefaultSettings(),
@@ -184,7 +184,7 @@
 		cell := l.targets.Get(id)
 		candidate := replica.Candidate{
 			Target:   i,
-			Excluded: cell == nil || slices.Contains(exclude, id) || l.leaving.has(id, now),
+			Excluded: cell == nil || slices.Contains(exclude, id) || l.notices.closed(id, now),
 		}
 		if cell != nil {
 			cells[i] = cell
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -80,6 +80,9 @@
 	if se.RetryAfter == 0 {
 		se.RetryAfter = DefaultRetryAfter
 	}
+	if wait, open := e.policy.open(e.candidates(req, chosen.Shards[shard], shard)); !open {
+		se.RetryAfter = max(se.RetryAfter, wait)
+	}
 	return nil, &se
 }
 
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -28,9 +28,10 @@
 	start(req *Request, shard int, target string) attemptToken
 	// free reports whether the shard takes another sub-request.
 	free(req *Request, shard int) bool
-	// open reports whether any of the targets may answer: one that has not just refused
-	// a connection.
-	open(targets []string) bool
+	// open reports whether any of the targets may answer: one that may get new work and
+	// has not just refused a connection. Otherwise it returns the time until one may get
+	// work again, zero when that is not known.
+	open(targets []string) (wait time.Duration, ok bool)
 	finish(token attemptToken, class replica.Class, refused bool)
 	// planned records the primary attempts of one query.
 	planned(req *Request, primaries int)
@@ -74,8 +75,9 @@
 	switch status.CodeOf(err) {
 	case "":
 		return replica.Success
-	case status.Canceled, status.DeadlineExceeded, status.ConnectionSilent:
-		// A silent connection is the connection's fault, not the target's.
+	case status.Canceled, status.DeadlineExceeded, status.ConnectionSilent, status.NoReplica:
+		// A silent connection is the connection's fault, not the target's. With NoReplica
+		// nothing was sent.
 		return replica.Canceled
 	case status.ConnectionFailed, status.ReplyMismatch, status.TooLarge:
 		return replica.Failure
@@ -87,7 +89,7 @@
 // hedging, no admission control, free retries.
 type baseline struct {
 	self    Identity
-	leaving *leavingSet
+	notices *notices
 }
 
 func (*baseline) admit(context.Context, *Request) (func(admission.Result), error) {
@@ -98,7 +100,7 @@
 	now := b.self.Clock()
 	allowed := make([]string, 0, len(targets))
 	for _, t := range targets {
-		if !slices.Contains(exclude, t) && !b.leaving.has(t, now) {
+		if !slices.Contains(exclude, t) && !b.notices.closed(t, now) {
 			allowed = append(allowed, t)
 		}
 	}
@@ -108,12 +110,12 @@
 	return allowed[rand.IntN(len(allowed))], false, true
 }
 
-func (*baseline) free(*Request, int) bool                   { return true }
-func (*baseline) open(targets []string) bool                { return len(targets) > 0 }
-func (*baseline) start(*Request, int, string) attemptToken  { return attemptToken{} }
-func (*baseline) finish(attemptToken, replica.Class, bool)  {}
-func (*baseline) planned(*Request, int)                     {}
-func (*baseline) hedgeDelay(*Request) (time.Duration, bool) { return 0, false }
+func (*baseline) free(*Request, int) bool                     { return true }
+func (*baseline) open(targets []string) (time.Duration, bool) { return 0, len(targets) > 0 }
+func (*baseline) start(*Request, int, string) attemptToken    { return attemptToken{} }
+func (*baseline) finish(attemptToken, replica.Class, bool)    {}
+func (*baseline) planned(*Request, int)                       {}
+func (*baseline) hedgeDelay(*Request) (time.Duration, bool)   { return 0, false }
 func (*baseline) hedge(*Request, int, hedge.Progress) hedge.Decision {
 	return hedge.Decision{Verdict: hedge.Off}
 }
--- a/internal/engine/pools.go
+++ b/internal/engine/pools.go
@@ -58,20 +58,26 @@
 	return p.limit.Free()
 }
 
-func (l *loaded) open(targets []string) bool {
+func (l *loaded) open(targets []string) (wait time.Duration, ok bool) {
 	now := l.now()
 	for _, id := range targets {
 		cell := l.targets.Get(id)
-		if cell == nil || l.leaving.has(id, now) {
+		if cell == nil {
 			continue
 		}
-		refused := cell.Lock().refusedUntil
-		cell.Unlock()
-		if now >= refused {
-			return true
+		until, closed := l.notices.closedUntil(id, now)
+		if !closed {
+			until = cell.Lock().refusedUntil
+			cell.Unlock()
+			if now >= until {
+				return 0, true
+			}
+		}
+		if left := until - now; left > 0 && (wait == 0 || left < wait) {
+			wait = left
 		}
 	}
-	return false
+	return wait, false
 }
 
 func (l *loaded) allowRetry(req *Request, shard int) bool {
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/coverage"
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/coordination/snapshot"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
@@ -219,11 +221,16 @@
 	}
 	n := len(chosen.Shards)
 	open := 0
+	var waits []time.Duration // Of the closed shards.
 	for i, targets := range chosen.Shards {
 		if q.req.Others != nil {
 			targets = q.req.Others[i]
 		}
-		if q.engine.policy.open(targets) && q.engine.policy.free(q.req, i) {
+		wait, ok := q.engine.policy.open(targets)
+		switch {
+		case !ok:
+			waits = append(waits, wait)
+		case q.engine.policy.free(q.req, i):
 			open++
 		}
 	}
@@ -231,7 +238,19 @@
 		return nil
 	}
 	pause := minReturn + time.Duration(rand.Int64N(int64(maxReturn-minReturn)))
-	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause)
+	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause + opensIn(waits, n, open, q.req.Contract.Cutoff))
+}
+
+// opensIn returns the time until enough of the closed shards take requests again, zero
+// when it is not known.
+func opensIn(waits []time.Duration, shards, open int, need coverage.Cutoff) time.Duration {
+	slices.Sort(waits)
+	for i, wait := range waits {
+		if need.Meets(open+i+1, shards) {
+			return wait
+		}
+	}
+	return 0
 }
 
 func (q *query) isExcluded(s ids.Snapshot) bool {
--- a/internal/entry/facts.go
+++ b/internal/entry/facts.go
@@ -3,15 +3,16 @@
 import (
 	"bytes"
 	"cmp"
-	"github.com/balsamstall/balsamstall/internal/engine"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/failing"
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 )
@@ -72,13 +73,13 @@
 // leaving returns the leaving targets, those with the latest evidence first: it
 // has the latest end.
 func (f *facts) leaving() []*peerpb.Leaving {
-	remaining := f.core.LeavingTargets()
-	targets := slices.SortedFunc(maps.Keys(remaining), func(a, b string) int {
-		return cmp.Or(cmp.Compare(remaining[b], remaining[a]), cmp.Compare(a, b))
+	reports := f.core.LeavingTargets()
+	slices.SortFunc(reports, func(a, b notice.Report) int {
+		return cmp.Or(cmp.Compare(b.Left, a.Left), cmp.Compare(a.ID, b.ID))
 	})
-	told := make([]*peerpb.Leaving, len(targets))
-	for i, target := range targets {
-		told[i] = &peerpb.Leaving{Target: target, RemainingMs: remaining[target].Milliseconds()}
+	told := make([]*peerpb.Leaving, len(reports))
+	for i, r := range reports {
+		told[i] = &peerpb.Leaving{Target: r.ID, StartedMs: r.Started, Stated: r.Stated, RemainingMs: r.Left.Milliseconds()}
 	}
 	return told
 }
@@ -107,10 +108,8 @@
 		f.core.LearnFailing(entry, failing.Report{Target: t.Target, Age: time.Duration(t.AgeMs) * time.Millisecond})
 	}
 	for _, l := range set.Leaving {
-		left := time.Duration(l.RemainingMs)*time.Millisecond - leavingTravel
-		if left > 0 {
-			f.core.MarkLeaving(l.Target, min(left, engine.LeavingPeriod))
-		}
+		f.core.LearnLeaving(entry, notice.Report{Target: notice.Target{ID: l.Target, Started: l.StartedMs}, Stated: l.Stated,
+			Left: time.Duration(l.RemainingMs)*time.Millisecond - leavingTravel})
 	}
 	for _, s := range set.Successions {
 		if len(s.Incarnation) == ids.IncarnationSize && len(s.SuccessorIncarnation) == ids.IncarnationSize {
--- a/internal/entry/facts_test.go
+++ b/internal/entry/facts_test.go
@@ -40,3 +40,25 @@
 	is.Equal(leaving, targets)
 	is.Equal(successors, targets)
 }
+
+// Guards against a target that gets work from an entry whose peers know that it leaves,
+// and against one that gets none because its predecessor left.
+func TestPeersTellWhichStartOfATargetLeaves(t *testing.T) {
+	is := is.New(t)
+	told, learned := newFakeFleet(t, 1, 1), newFakeFleet(t, 1, 1)
+	catalogue := func(started int64) *engine.Catalogue {
+		return &engine.Catalogue{Targets: []engine.CatalogueTarget{{ID: "t", Started: started}}}
+	}
+	from, to := told.engine(0).core, learned.engine(0).core
+	from.SetCatalogue(catalogue(1))
+	from.StateLeaving("t", "id")
+	tell := func() {
+		newFacts(Identity{}, to).Receive("peer", newFacts(Identity{Start: time.Now()}, from).Collect())
+	}
+	to.SetCatalogue(catalogue(2))
+	tell()
+	is.True(!to.Leaving("t"))
+	to.SetCatalogue(catalogue(1))
+	tell()
+	is.True(to.Leaving("t"))
+}
--- a/internal/entry/query_test.go
+++ b/internal/entry/query_test.go
@@ -235,3 +235,27 @@
 	is.Equal(got.fault.Code, status.Draining)
 	is.Equal(got.fault.Outcome, status.Unknown) // An earlier use of the permit may have run.
 }
+
+// Guards against work for a target that refused an attempt and asked for a time without.
+func TestTargetThatAsksForTimeGetsNothingMeanwhile(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 1)
+	var mu sync.Mutex
+	asked := map[string]int{}
+	f.targets.serve = func(_ context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(asked) == 0 || asked[target] > 0 {
+			asked[target]++
+			return nil, status.New(status.Shed, status.NotRun, "shed").WithRetryAfter(time.Minute)
+		}
+		return f.targets.run(req), nil
+	}
+	for range 50 {
+		is.Equal(f.search(0, testKeyAsan, quote("clamp")).status, http.StatusOK)
+	}
+	is.Equal(len(asked), 1)
+	for _, n := range asked {
+		is.Equal(n, 1)
+	}
+}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -87,8 +87,11 @@
 		Query:          w.req.search.Query,
 		DeadlineUnixMS: w.req.deadline.UnixMilli(),
 		AtMostOnce:     a.Once,
-	}, targethttp.Options{FreshConnection: a.Fresh, SilentAfter: a.SilentAfter})
+	}, targethttp.Options{FreshConnection: a.Fresh, SilentAfter: a.SilentAfter, MaySend: w.engine.core.MaySend})
 	if err != nil {
+		if se := status.From(err); se.Code == status.Shed && se.RetryAfter > 0 {
+			w.engine.core.HoldOff(a.Target, w.req.id.String(), se.RetryAfter)
+		}
 		return nil, err // Not a typed nil in an interface.
 	}
 	return reply, nil
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/coordination/homes"
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/relayapi"
@@ -45,6 +46,7 @@
 // forwarder offers gathered requests to homes.
 type forwarder struct {
 	homes Homes
+	core  *engine.Engine
 	// catchUp asks an entry for newer documents. It must not block.
 	catchUp func(entry string)
 	log     zerolog.Logger
@@ -62,7 +64,7 @@
 }
 
 func newForwarder(cfg *Config) *forwarder {
-	f := &forwarder{homes: cfg.Homes, catchUp: cfg.CatchUp, metrics: cfg.Metrics, self: cfg.Self,
+	f := &forwarder{homes: cfg.Homes, core: cfg.Core, catchUp: cfg.CatchUp, metrics: cfg.Metrics, self: cfg.Self,
 		log: cfg.Log.Sample(&zerolog.BurstSampler{Burst: forwardLinesPerSecond, Period: time.Second})}
 	if f.catchUp == nil {
 		f.catchUp = func(string) {}
@@ -103,16 +105,17 @@
 
 // gather runs a request on a home. It returns nil when no home has taken it, so that it
 // has not run and this entry may run it.
-func (f *forwarder) gather(ctx context.Context, req *relayapi.Request, p *plan, core *engine.Request) *relayapi.Answer {
+func (f *forwarder) gather(ctx context.Context, req *relayapi.Request, p *plan, route *route, core *engine.Request) *relayapi.Answer {
 	var tried offers
 	for _, home := range f.order() {
 		began := time.Now()
-		gathered, err := f.homes.Gather(ctx, home.Address, f.start(req, p), offerWithin)
+		gathered, err := f.homes.Gather(ctx, home.Address, f.start(req, p, route), offerWithin)
 		f.note(home.ID, gathered, err)
 		tried.add(home.ID, time.Since(began), err)
 		if err == nil {
 			f.metrics.Forwarded.Add(1)
 			f.logForward(req, core, &tried, nil)
+			learnLeaving(f.core, home.ID, gathered.Answer.Leaving)
 			return answerOf(gathered.Answer)
 		}
 		failure := status.From(err)
@@ -132,7 +135,7 @@
 }
 
 // start describes a request to a home.
-func (f *forwarder) start(req *relayapi.Request, p *plan) *peerpb.GatherStart {
+func (f *forwarder) start(req *relayapi.Request, p *plan, route *route) *peerpb.GatherStart {
 	s := &peerpb.GatherStart{
 		RequestId:     req.ID,
 		Host:          req.Host,
@@ -144,6 +147,7 @@
 		WaitUs:        req.Wait.Microseconds(),
 		SheetRevision: max(p.sheet.Revision, f.newestRevision()),
 		Receiver:      f.self.Entry,
+		Leaving:       statedLeaving(f.core, route),
 	}
 	for name, values := range req.Header {
 		for _, v := range values {
@@ -153,6 +157,23 @@
 	return s
 }
 
+// statedLeaving lists the targets of a route that said that they leave. They travel with
+// the hop, so that neither side sends to a target whose word the other one has heard.
+func statedLeaving(core *engine.Engine, route *route) []*peerpb.Leaving {
+	var told []*peerpb.Leaving
+	for _, t := range core.StatedLeaving(route.others) {
+		told = append(told, &peerpb.Leaving{Target: t.ID, StartedMs: t.Started, Stated: true})
+	}
+	return told
+}
+
+// learnLeaving takes what the other side of a hop knows of leaving targets.
+func learnLeaving(core *engine.Engine, peer string, told []*peerpb.Leaving) {
+	for _, l := range told {
+		core.LearnLeaving(peer, notice.Report{Target: notice.Target{ID: l.Target, Started: l.StartedMs}, Stated: l.Stated})
+	}
+}
+
 // note takes note of how a home treated an offer.
 func (f *forwarder) note(home string, g *peerrpc.Gathered, err error) {
 	now := f.self.Clock()
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -47,6 +47,7 @@
 		r.hosted.Add(-1)
 		return nil, status.New(status.Overloaded, status.NotRun, "this entry runs %d requests of others", maxHosted)
 	}
+	learnLeaving(r.cfg.Core, s.Receiver, s.Leaving)
 	wait := time.Duration(s.WaitUs) * time.Microsecond
 	if wait > 0 {
 		wait = max(wait-hopMargin, time.Microsecond)
@@ -79,14 +80,16 @@
 	defer end()
 	h.relay.cfg.Core.AwaitVerified(ctx)
 	answer := h.relay.run(ctx, h.req, h.plan, h.route)
+	told := statedLeaving(h.relay.cfg.Core, h.route)
 	if err := answer.Err; err != nil {
 		return &peerpb.GatherAnswer{Error: &peerpb.GatherError{Code: string(err.Code), Outcome: string(err.Outcome),
-			Message: err.Message, RetryAfterMs: err.RetryAfter.Milliseconds()}}
+			Message: err.Message, RetryAfterMs: err.RetryAfter.Milliseconds()}, Leaving: told}
 	}
 	return &peerpb.GatherAnswer{
 		Service:    answer.Service,
 		Signatures: answer.Merged.Signatures,
 		Missing:    int32(answer.Merged.Missing),
 		Records:    answer.Merged.Records,
+		Leaving:    told,
 	}
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -201,7 +201,7 @@
 		if t.Cold {
 			cold = coldPeriod
 		}
-		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Zone: t.Zone, Slots: t.Slots, ColdFor: cold})
+		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Started: t.Started, Zone: t.Zone, Slots: t.Slots, ColdFor: cold})
 	}
 	return c
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -293,7 +293,7 @@
 	core := coreRequest(req, p, route)
 	ctx, cancel := context.WithDeadline(ctx, core.Deadline)
 	defer cancel()
-	return r.forwarder.gather(ctx, req, p, core)
+	return r.forwarder.gather(ctx, req, p, route, core)
 }
 
 // run runs a request on this entry.
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -46,13 +46,16 @@
 		FreshConnection: a.Fresh && !a.Once,
 		SilentAfter:     a.SilentAfter,
 		MaxBody:         w.maxBody,
+		MaySend:         w.relay.cfg.Core.MaySend,
 	})
 	if err != nil {
 		return nil, err
 	}
-	switch {
-	case reply.Misdirected:
+	if reply.Misdirected {
 		return nil, status.New(status.Draining, status.NotRun, "another target has the address of %s", a.Target)
+	}
+	w.heed(a.Target, reply)
+	switch {
 	case reply.NotRun:
 		return nil, status.Wrap(&relayapi.Failure{Reply: reply}, status.Shed, status.NotRun, "target %s refused", a.Target).WithRetryAfter(reply.RetryAfter)
 	case reply.Header.Get("Content-Encoding") != "", success(reply) && reply.Signature == "":
@@ -63,6 +66,19 @@
 	return reply, nil
 }
 
+// heed takes what a target says about new work.
+func (w *work) heed(target string, reply *relayapi.Reply) {
+	if success(reply) && reply.Signature == "" {
+		return // Nothing shows that the reply is the target's own.
+	}
+	if reply.Leaving {
+		w.relay.cfg.Core.StateLeaving(target, w.req.ID)
+	}
+	if reply.HoldOff {
+		w.relay.cfg.Core.HoldOff(target, w.req.ID, reply.RetryAfter)
+	}
+}
+
 func success(reply *relayapi.Reply) bool { return reply.Status >= 200 && reply.Status <= 299 }
 
 // gatherWork merges the records of the shards.
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -42,6 +42,10 @@
 	Misdirected bool
 	// RetryAfter is the time to come back that the target states, or zero.
 	RetryAfter time.Duration
+	// HoldOff is set when the target wants no requests of this entry for RetryAfter.
+	HoldOff bool
+	// Leaving is set when the target states that it leaves.
+	Leaving bool
 }
 
 // Merged is an answer made of the replies of several shards.
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -46,6 +46,9 @@
 	SilentAfter time.Duration
 	// MaxBody bounds the body of the reply in bytes. Zero selects MaxReplyBytes.
 	MaxBody int64
+	// MaySend is asked when the attempt has its connection. Nothing is sent when it
+	// returns an error, which must have the outcome NotRun. Nil always allows.
+	MaySend func(target string) error
 }
 
 // Client sends attempts to any number of targets.
@@ -157,7 +160,7 @@
 	if err != nil {
 		return nil, status.Wrap(err, status.Internal, status.NotRun, "encoding an attempt")
 	}
-	cn, err := p.acquire(ctx, opt.FreshConnection)
+	cn, err := p.acquireFor(ctx, target, opt)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -75,6 +75,19 @@
 	return c, err
 }
 
+// acquireFor is acquire for an attempt that may still be sent when it has its connection.
+func (p *pool) acquireFor(ctx context.Context, target string, opt Options) (*conn, error) {
+	c, err := p.acquire(ctx, opt.FreshConnection)
+	if err != nil || opt.MaySend == nil {
+		return c, err
+	}
+	if err := opt.MaySend(target); err != nil {
+		p.release(c)
+		return nil, err
+	}
+	return c, nil
+}
+
 func (p *pool) take(ctx context.Context, fresh bool) (*conn, error) {
 	for {
 		p.mu.Lock()
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -54,7 +54,7 @@
 	if p == nil {
 		return nil, status.New(status.NoReplica, status.NotRun, "target %s is not known", target)
 	}
-	cn, err := p.acquire(ctx, opt.FreshConnection)
+	cn, err := p.acquireFor(ctx, target, opt)
 	if err != nil {
 		return nil, err
 	}
