End attempts with their search

Cause: attempts whose shard was answered by another one, and those of searches that had ended, ran on for 250 ms to keep their connections. Under load they filled the slots of targets and made shards look overloaded. Change: an attempt ends with its shard or its search. The engine's tests play loads of simulated targets in simulated time. TestAttemptsEndWithTheirSearch fails with the old 250 ms. Conclusion: kept; more connections are opened, which costs far less.

--- /dev/null
+++ b/internal/engine/heavy_test.go
@@ -0,0 +1,109 @@
+package engine_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var (
+	seedsFlag   = flag.Uint64("play.seeds", 1, "number of seeds that each load is played with")
+	entriesFlag = flag.Int("play.entries", 6, "number of entries")
+)
+
+// kinds are the users' searches of ten shards at the given multiple of their usual rate.
+func kinds(times float64) []kind {
+	return []kind{
+		{"wide", 165 * times, 20 * time.Millisecond, 150 * time.Millisecond, 2500 * time.Millisecond, 0.89, 2},
+		{"quick", 55 * times, 6700 * time.Microsecond, 60 * time.Millisecond, time.Second, 0.75, 1},
+	}
+}
+
+// loads are what the heaviest days of the users consist of.
+func loads() map[string]*load {
+	const period, swing = 13 * time.Second, 0.55
+	wave := func(times float64, set func(s, r int, t *simTarget)) *load {
+		return &load{length: 2 * period, shards: 10, replicas: 3, kinds: kinds(times), swing: swing, period: period, set: set}
+	}
+	return map[string]*load{
+		"calm": wave(0.8, nil),
+		// A sixth of the targets takes 8.5 times as long.
+		"slow": wave(1, func(s, r int, t *simTarget) {
+			if (s*3+r)%6 == 0 {
+				t.slow = 8.5
+			}
+		}),
+		// Each shard lost a target, a third of them two.
+		"crest": wave(1, func(s, r int, t *simTarget) { t.down = r == 2 || r == 1 && s%3 == 0 }),
+		// One shard is down and two have one good target and a slow one.
+		"lost": wave(1, func(s, r int, t *simTarget) {
+			t.down = s == 1 || r == 2
+			if (s == 0 || s == 8) && r == 0 {
+				t.slow = 10
+			}
+		}),
+		// Each shard has one target that refuses nothing; the others refuse 60%.
+		"shed": wave(1, func(s, r int, t *simTarget) {
+			t.down = r == 2 && s%2 == 0
+			if r > 0 {
+				t.shed = 0.6
+			}
+		}),
+	}
+}
+
+// Plays each load and prints what callers get: a table for whoever works on a decision.
+// Guards against a load under which no caller is answered in aim.
+func TestPlayedLoads(t *testing.T) {
+	for name, l := range loads() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sum := map[string]*outcome{}
+			for seed := range *seedsFlag {
+				synctest.Test(t, func(*testing.T) {
+					played := *l
+					played.entries = *entriesFlag
+					for kind, o := range played.play(seed + 1).by {
+						if sum[kind] == nil {
+							sum[kind] = &outcome{}
+						}
+						sum[kind].add(o)
+					}
+				})
+			}
+			text, credit, worth := "", 0.0, 0.0
+			for _, k := range l.kinds {
+				o := sum[k.name]
+				n := float64(o.asked)
+				text += fmt.Sprintf(" | %s: in aim %.2f second %.2f late %.2f refused %.2f failed %.2f credit %.3f", k.name,
+					float64(o.inAim)/n, float64(o.second)/n, float64(o.late)/n, float64(o.refused)/n, float64(o.failed)/n, o.credit/n)
+				credit += o.credit * k.worth
+				worth += n * k.worth
+				if o.inAim == 0 {
+					t.Errorf("no %s search is answered in aim", k.name)
+				}
+			}
+			t.Logf("%-6s %d entries: credit %.3f%s", name, *entriesFlag, credit/worth, text)
+		})
+	}
+}
+
+// Guards against losers of hedges and searches that have ended which hold the slots of
+// targets that others wait for.
+func TestAttemptsEndWithTheirSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := load{entries: 1, length: time.Second, shards: 2, replicas: 2, kinds: kinds(0.1), set: func(s, r int, target *simTarget) {
+			target.pauseFor = 0
+			if r == 0 {
+				target.slow = 1000
+			}
+		}}
+		for id, target := range l.play(1).site {
+			if target.running > 0 {
+				t.Errorf("%s still runs %d attempts after the last answer", id, target.running)
+			}
+		}
+	})
+}
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -149,10 +149,10 @@
 		case now := <-q.timer.C:
 			q.due(now)
 		case <-ctx.Done():
-			return q.finish(0)
+			return q.finish()
 		}
 	}
-	return q.finish(q.req.Contract.Linger)
+	return q.finish()
 }
 
 // plan chooses the snapshot and sends the first attempt of every shard.
@@ -186,11 +186,7 @@
 	for i := range q.subs {
 		s := &q.subs[i]
 		s.shard = i
-		base := ctx
-		if q.req.Contract.Linger > 0 {
-			base = context.WithoutCancel(ctx) // Attempts may outlive the answer.
-		}
-		s.ctx, s.cancel = context.WithDeadline(base, q.req.Deadline)
+		s.ctx, s.cancel = context.WithCancel(ctx)
 	}
 	if q.canary == none {
 		q.launchRest()
@@ -325,36 +321,21 @@
 
 func (q *query) resolve(s *subRequest) {
 	s.resolved = true
-	s.end(q.req.Contract.Linger)
+	s.cancel() // A loser would hold a slot that another request needs.
 	q.pending--
 }
 
-// end cancels the outstanding attempts after the given time.
-func (s *subRequest) end(linger time.Duration) {
-	if linger > 0 && s.outstanding > 0 {
-		time.AfterFunc(linger, s.cancel)
-		return
-	}
-	s.cancel()
-}
-
 // sufficient reports whether the answer leaves without the missing shards.
 func (q *query) sufficient() bool {
 	return q.req.Contract.Cutoff.Sufficient(time.Since(q.req.Arrival), q.accepted, len(q.subs))
 }
 
-// finish ends what is outstanding and returns the answer. Attempts may go on for
-// the given time.
-func (q *query) finish(linger time.Duration) (*Result, error) {
+// finish ends what is outstanding and returns the answer.
+func (q *query) finish() (*Result, error) {
 	unfinished := false
 	for i := range q.subs {
-		s := &q.subs[i]
-		if !s.resolved {
-			unfinished = true
-			s.end(linger)
-		} else if linger == 0 {
-			s.cancel()
-		}
+		unfinished = unfinished || !q.subs[i].resolved
+		q.subs[i].cancel()
 	}
 	if q.aborted != nil {
 		return nil, q.aborted
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -60,9 +60,6 @@
 	MaxFanout int
 	// CanaryWait is the head start of the first shard. Zero sends to all at once.
 	CanaryWait time.Duration
-	// Linger is the time for which an attempt whose shard was answered by another
-	// one may go on, so that its connection stays usable. Zero cancels it at once.
-	Linger time.Duration
 }
 
 // Attempt is one sub-request at one target.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,10 +37,6 @@
 	// away one way; one that opens a connection first needs two round trips.
 	reservePart = 0.12
 	minReserve  = 14 * time.Millisecond
-	// linger lets the slower of two attempts finish, which keeps its connection. It
-	// covers the 150 ms for which targets pause, and stays within the half second in
-	// which work for a caller that left must end.
-	linger = 250 * time.Millisecond
 	// callerMargin is taken off the time that a caller waits, for the answer's way.
 	callerMargin = 10 * time.Millisecond
 )
@@ -332,7 +328,6 @@
 			Complete:  true,
 			MaxRuns:   route.relay.Attempts,
 			MaxFanout: svc.Limits.MaxFanout,
-			Linger:    linger,
 		},
 		Arrival:         req.Arrival,
 		Deadline:        req.Arrival.Add(wait),
