Hold targets that leave attempts unanswered

Cause: hedges end the attempts at a silent target before any of them fails, so it kept getting first attempts and hedges. Ruled out: a longer wait for losers; it fills the slots of targets that work. Change: an attempt that is given up after 50 ms without any reply of its target counts as a failure for the hold, which then is at most 1 s. The new test fails before.

--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -38,6 +38,14 @@
 	// HoldMin is the length of the first hold. Each failed probe doubles it up
 	// to HoldMax. The defaults are 250 ms and 10 s.
 	HoldMin, HoldMax time.Duration
+	// UnansweredAfter is the time without a reply after which an attempt that is given up
+	// counts as a failure, if the target has answered none since its start. The default
+	// is 50 ms. A target that pauses or fell silent loses its work before it has failed
+	// any attempt, because hedges end them.
+	UnansweredAfter time.Duration
+	// SilentHoldMax bounds the hold after such attempts. The default is 1 s: nothing shows
+	// that the target is down.
+	SilentHoldMax time.Duration
 	// HintExpiry is the time for which a reported hint counts. The default is 5 s.
 	HintExpiry time.Duration
 	// MaxHintPenalty bounds the factor that a hint puts on the cost, because a
@@ -48,16 +56,18 @@
 // DefaultSettings returns the defaults.
 func DefaultSettings() *Settings {
 	return &Settings{
-		LatencyDecay:   2 * time.Second,
-		InitialLatency: 20 * time.Millisecond,
-		MinLatency:     500 * time.Microsecond,
-		FailureDecay:   3 * time.Second,
-		FailurePenalty: 4,
-		HoldAfter:      2,
-		HoldMin:        250 * time.Millisecond,
-		HoldMax:        10 * time.Second,
-		HintExpiry:     5 * time.Second,
-		MaxHintPenalty: 8,
+		LatencyDecay:    2 * time.Second,
+		InitialLatency:  20 * time.Millisecond,
+		MinLatency:      500 * time.Microsecond,
+		FailureDecay:    3 * time.Second,
+		FailurePenalty:  4,
+		HoldAfter:       2,
+		HoldMin:         250 * time.Millisecond,
+		HoldMax:         10 * time.Second,
+		UnansweredAfter: 50 * time.Millisecond,
+		SilentHoldMax:   time.Second,
+		HintExpiry:      5 * time.Second,
+		MaxHintPenalty:  8,
 	}
 }
 
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -240,3 +240,31 @@
 	is := is.New(t)
 	is.Equal(testing.AllocsPerRun(100, newAttemptLoop(3)), 0.0)
 }
+
+// Guards against a silent target that keeps its work because hedges end each attempt, and
+// against a hold of one that answers others meanwhile, or is only overtaken.
+func TestUnansweredAttemptsHoldTheirTarget(t *testing.T) {
+	is := is.New(t)
+	s := DefaultSettings()
+	stats := NewStats(s, 0)
+	giveUp := func(at, after time.Duration) {
+		token := stats.Start(at)
+		stats.Finish(token, at+after, Canceled)
+	}
+	for n := range 10 {
+		giveUp(time.Duration(n)*time.Second, 49*ms)
+	}
+	slow, quick := stats.Start(10*time.Second), stats.Start(10*time.Second)
+	stats.Finish(quick, 10*time.Second+20*ms, Success)
+	stats.Finish(slow, 10*time.Second+70*ms, Canceled)
+	giveUp(11*time.Second, 60*ms)
+	is.True(!stats.Score(11*time.Second + 60*ms).Held)
+	giveUp(12*time.Second, 60*ms)
+	is.True(stats.Score(12*time.Second + 60*ms).Held)
+	for n := range 10 {
+		giveUp(time.Duration(20+2*n)*time.Second, 60*ms)
+	}
+	is.True(!stats.Score(38*time.Second + 60*ms + s.SilentHoldMax).Held)
+	stats.Finish(stats.Start(50*time.Second), 50*time.Second+20*ms, Success)
+	is.True(!stats.Score(50*time.Second + 20*ms).Held)
+}
--- a/coordination/replica/stats.go
+++ b/coordination/replica/stats.go
@@ -20,6 +20,9 @@
 	failedAt time.Duration
 	inRow    int
 
+	// repliedAt is the time of the last reply, meaningful when replied is set.
+	repliedAt time.Duration
+	replied   bool
 	// holdLength is zero for a target that is not held.
 	holdLength, heldAt time.Duration
 	probing            Token
@@ -67,15 +70,19 @@
 	case Success:
 		t.sample(now, latency)
 		t.inRow, t.holdLength = 0, 0
+		t.repliedAt, t.replied = now, true
 	case Failure:
 		// A fast failure says nothing good about the target's speed.
 		t.sampleIfSlower(now, latency)
 		t.fail(now)
-		t.hold(start, now)
+		t.holdFor(start, now, t.settings.HoldMax)
 	case Shed:
 		t.fail(now)
 	case Canceled:
 		t.sampleIfSlower(now, latency)
+		if latency >= t.settings.UnansweredAfter && (!t.replied || t.repliedAt < start) {
+			t.holdFor(start, now, t.settings.SilentHoldMax)
+		}
 	}
 	if token == t.probing {
 		t.probing = Token{}
@@ -163,14 +170,15 @@
 	t.failedAt = max(now, t.failedAt)
 }
 
-// hold starts or doubles the hold after a failure. Attempts that were already
-// in flight when the hold began do not lengthen it: one crash fails them all.
-func (t *Stats) hold(start, now time.Duration) {
+// holdFor starts or doubles the hold after a failure, up to the given length. Attempts
+// that were already in flight when the hold began do not lengthen it: one crash fails
+// them all.
+func (t *Stats) holdFor(start, now, most time.Duration) {
 	t.inRow++
 	switch {
 	case t.holdLength > 0 && start < t.heldAt:
 	case t.holdLength > 0:
-		t.holdLength = min(2*t.holdLength, t.settings.HoldMax)
+		t.holdLength = max(t.holdLength, min(2*t.holdLength, most))
 		t.heldAt = now
 	case t.inRow >= t.settings.HoldAfter:
 		t.holdLength, t.heldAt = t.settings.HoldMin, now
