Tell refused callers to return within their goal

Cause: callers refused for overloaded shards were told to return after 100 to 300 ms, past the latency goal of 60 or 150 ms, so that their second answer was late even where it came at once. Ruled out: longer times; in the played loads the second call finds room as seldom. Change: the time is a tenth to three tenths of the goal.

--- a/internal/engine/heavy_test.go
+++ b/internal/engine/heavy_test.go
@@ -146,3 +146,17 @@
 		t.Logf("%d attempts into the partition, %d of %d searches in aim", unheard, inAim, asked)
 	})
 }
+
+// Plays a crest at which one caller in four is refused at first. Guards against callers
+// who are told to return so late that the second answer is late as well.
+func TestRefusedCallersCanReturnInAim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := loads()["crest"]
+		l.entries = 6
+		wide := l.play(1).by["wide"]
+		t.Logf("answered at the second call: %d within the goal of the first, %d later", wide.back, wide.second)
+		if wide.back <= wide.second {
+			t.Error("most callers who are answered at their second call get a late answer")
+		}
+	})
+}
--- a/internal/engine/play_test.go
+++ b/internal/engine/play_test.go
@@ -193,6 +193,8 @@
 // outcome counts what the callers of one kind got.
 type outcome struct {
 	asked, inAim, second, late, refused, failed int
+	// back counts those of inAim who were refused once.
+	back int
 	// credit is what the callers of the users' platform count: the squared share of the
 	// shards for an answer in aim, a part of it for one in aim of the second call or a late
 	// one, and a loss for callers that were told to return and are refused again.
@@ -232,6 +234,7 @@
 func (o *outcome) add(p *outcome) {
 	o.asked, o.inAim, o.second = o.asked+p.asked, o.inAim+p.inAim, o.second+p.second
 	o.late, o.refused, o.failed = o.late+p.late, o.refused+p.refused, o.failed+p.failed
+	o.back += p.back
 	o.credit += p.credit
 }
 
@@ -398,7 +401,11 @@
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.by[k.name].count(refused, err, share, time.Since(began) <= k.goal, try > 0 && heldShort && time.Since(sent) <= k.goal)
+		o := b.by[k.name]
+		o.count(refused, err, share, time.Since(began) <= k.goal, try > 0 && heldShort && time.Since(sent) <= k.goal)
+		if try > 0 && err == nil && time.Since(began) <= k.goal {
+			o.back++
+		}
 		return
 	}
 }
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -201,14 +201,23 @@
 	return nil
 }
 
-// Times to come back after a refusal because of overloaded shards. They are spread,
-// so that callers do not return together, and short against the deadlines of
-// seconds, so that callers keep them.
+// Parts of the latency goal after which a caller comes back that was refused because
+// shards are overloaded. They are spread, so that callers do not return together, and
+// short enough that the second call can be answered within the goal of the first: a place
+// becomes free within some ms, and another entry may have one already.
 const (
-	minReturn = 100 * time.Millisecond
-	maxReturn = 300 * time.Millisecond
+	minReturnPart = 0.1
+	maxReturnPart = 0.3
 )
 
+// returnTime draws the time after which such a caller comes back.
+func returnTime(rng globalRand, goal time.Duration) time.Duration {
+	if goal <= 0 {
+		return DefaultRetryAfter
+	}
+	return time.Duration((minReturnPart + (maxReturnPart-minReturnPart)*rng.Float64()) * float64(goal))
+}
+
 // servable refuses a request before anything is sent when too few of its shards
 // take it.
 func (q *query) servable(chosen *index.Snapshot) error {
@@ -233,8 +242,8 @@
 	if q.req.Contract.Cutoff.Meets(open, n) {
 		return nil
 	}
-	pause := minReturn + time.Duration(rand.Int64N(int64(maxReturn-minReturn)))
-	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause + opensIn(waits, n, open, q.req.Contract.Cutoff))
+	pause := returnTime(globalRand{}, q.req.Contract.Cutoff.Goal) + opensIn(waits, n, open, q.req.Contract.Cutoff)
+	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause)
 }
 
 // opensIn returns the time until enough of the closed shards take requests again, zero
