Give late callers the places that are left

Cause: after an outage the callers of the outage return beside the usual ones. Ruled out: first come first served; a place before new callers for all who return. The cutoff counts from the first call while half of the goal is left, and is two goals for late ones.

--- a/coordination/shardlimit/shardlimit.go
+++ b/coordination/shardlimit/shardlimit.go
@@ -66,5 +66,8 @@
 	}
 }
 
+// InFlight returns the number of attempts in flight.
+func (l *Limiter) InFlight() int { return l.inFlight }
+
 // Limit returns the number of sub-requests that may be in flight.
 func (l *Limiter) Limit() int { return int(l.limit) }
--- a/internal/engine/catalogue.go
+++ b/internal/engine/catalogue.go
@@ -12,6 +12,8 @@
 	Targets  []CatalogueTarget
 	// Entries is the number of entries that share the targets.
 	Entries int
+	// Runners is the number of entries that run gathered requests.
+	Runners int
 	// Pools names the target groups whose repeats are bounded by Repeats for the whole
 	// fleet.
 	Pools   []CataloguePool
@@ -23,6 +25,8 @@
 	Name string
 	// RepeatPart is this entry's part of the fleet's minimum of repeats, from 0 to 1.
 	RepeatPart float64
+	// Slots counts the slots of its targets that may get work.
+	Slots int
 }
 
 // CatalogueService describes a service to the load policies.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -77,7 +78,9 @@
 	verify  func()
 	audit   *audit.Trail
 	pause   *pauseGuard
-	metrics *Metrics
+	// lateWaiting counts the requests of late callers that wait for places.
+	lateWaiting atomic.Int64
+	metrics     *Metrics
 	// requests logs requests, with a bounded rate.
 	requests zerolog.Logger
 	// beliefs logs what peers made this entry believe, with a bounded rate.
--- a/internal/engine/heavy_test.go
+++ b/internal/engine/heavy_test.go
@@ -160,3 +160,29 @@
 		}
 	})
 }
+
+// Plays the second after an outage: beside the usual callers those return who called during
+// it, and together they ask for more than the targets can run. Guards against callers whose
+// goal has passed that take the places of those who can be answered in time, and against
+// late callers who are turned away although places become free.
+func TestLateCallersGetThePlacesThatAreLeft(t *testing.T) {
+	after := func(blind bool) (inAim, lateServed float64) {
+		synctest.Test(t, func(t *testing.T) {
+			l := load{entries: 6, length: 2 * time.Second, shards: 10, replicas: 3, kinds: kinds(1.1), returning: 350, blind: blind}
+			b := l.play(1)
+			wide, late := b.by["wide"], b.by["returning"]
+			inAim = float64(wide.inAim) / float64(wide.asked)
+			lateServed = float64(late.asked-late.refused-late.failed) / float64(late.asked)
+		})
+		return inAim, lateServed
+	}
+	blind, _ := after(true)
+	inAim, lateServed := after(false)
+	t.Logf("in aim %.3f, %.3f while the entries do not know who is late; late callers answered %.3f", inAim, blind, lateServed)
+	if inAim < 0.9 || lateServed < 0.5 {
+		t.Errorf("%.3f of the callers are answered in aim and %.3f of those who are late", inAim, lateServed)
+	}
+	if blind >= inAim {
+		t.Errorf("nothing is gained by knowing who is late: %.3f and %.3f", blind, inAim)
+	}
+}
--- a/internal/engine/play_test.go
+++ b/internal/engine/play_test.go
@@ -186,6 +186,11 @@
 	// swing makes the rate a wave of the given period.
 	swing  float64
 	period time.Duration
+	// returning is the number of callers a second who have waited a second already, during
+	// the first second.
+	returning float64
+	// blind hides from the entries how long callers have waited.
+	blind bool
 	// set changes targets at the start; shard and replica count from 0.
 	set func(shard, replica int, t *simTarget)
 }
@@ -292,13 +297,13 @@
 	now := func() time.Duration { return time.Since(start) }
 	b := &board{by: make(map[string]*outcome), site: make(map[string]*simTarget)}
 	snapshot := &index.Snapshot{Snapshot: ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1}}
-	catalogue := &engine.Catalogue{Entries: l.entries, Repeats: retrybudget.FleetSettings{Ratio: 0.2, Minimum: 52, Window: 10 * time.Second}}
+	catalogue := &engine.Catalogue{Entries: l.entries, Runners: l.entries, Repeats: retrybudget.FleetSettings{Ratio: 0.2, Minimum: 52, Window: 10 * time.Second}}
 	var pools []string
 	for s := range l.shards {
 		var shard []string
 		pool := fmt.Sprintf("g%d", s)
 		pools = append(pools, pool)
-		catalogue.Pools = append(catalogue.Pools, engine.CataloguePool{Name: pool, RepeatPart: 1 / float64(l.entries)})
+		catalogue.Pools = append(catalogue.Pools, engine.CataloguePool{Name: pool, RepeatPart: 1 / float64(l.entries), Slots: 3 * l.replicas})
 		for r := range l.replicas {
 			id := fmt.Sprintf("t%d-%d", s, r)
 			const pauseEvery = 4500 * time.Millisecond
@@ -324,11 +329,15 @@
 		engines[i].SetCatalogue(catalogue)
 	}
 	var running sync.WaitGroup
+	if l.returning > 0 {
+		b.by["returning"] = &outcome{}
+		running.Go(func() { l.callAgain(b, engines, snapshot, pools, now, rand.New(rand.NewPCG(seed, 4))) })
+	}
 	for now() < l.length {
 		k, gap := l.next(now(), rng)
 		time.Sleep(gap)
 		callerRng := rand.New(rand.NewPCG(rng.Uint64(), 3))
-		running.Go(func() { l.call(b, engines, k, snapshot, pools, now, callerRng) })
+		running.Go(func() { l.call(b, engines, k, 0, snapshot, pools, now, callerRng) })
 	}
 	running.Wait()
 	time.Sleep(2 * oneWay) // Ends of connections travel to the targets.
@@ -354,10 +363,24 @@
 	return k, time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 }
 
-// call plays one caller, who comes back once after a refusal.
-func (l *load) call(b *board, engines []*engine.Engine, k kind, snapshot *index.Snapshot, pools []string, now func() time.Duration, rng *rand.Rand) {
-	began := time.Now()
-	deadline := began.Add(k.deadline)
+// callAgain plays the callers of the first second who called a second earlier.
+func (l *load) callAgain(b *board, engines []*engine.Engine, snapshot *index.Snapshot, pools []string, now func() time.Duration, rng *rand.Rand) {
+	const waited = time.Second
+	k := l.kinds[0]
+	k.name, k.deadline = "returning", k.deadline-waited
+	var running sync.WaitGroup
+	for now() < time.Second {
+		time.Sleep(time.Duration(rng.ExpFloat64() / l.returning * float64(time.Second)))
+		callerRng := rand.New(rand.NewPCG(rng.Uint64(), 5))
+		running.Go(func() { l.call(b, engines, k, waited, snapshot, pools, now, callerRng) })
+	}
+	running.Wait()
+}
+
+// call plays one caller, who comes back once after a refusal unless it has called before.
+func (l *load) call(b *board, engines []*engine.Engine, k kind, waited time.Duration, snapshot *index.Snapshot, pools []string, now func() time.Duration, rng *rand.Rand) {
+	began := time.Now().Add(-waited)
+	deadline := time.Now().Add(k.deadline)
 	var drawMu sync.Mutex
 	draw := func() time.Duration {
 		drawMu.Lock()
@@ -378,18 +401,24 @@
 		}
 		previous = e
 		req := &engine.Request{
-			ID: "r", Service: k.name, Arrival: time.Now(), Deadline: deadline.Add(-2 * callerWay), Unlimited: true,
-			Contract: engine.Contract{Latency: k.goal, Cutoff: coverage.Cutoff{Goal: k.goal, Reserve: max(time.Duration(0.12*float64(k.goal)), 14*time.Millisecond), MinRatio: k.least},
+			ID: "r", Service: l.kinds[0].name, Arrival: time.Now(), Deadline: deadline.Add(-2 * callerWay), Unlimited: true,
+			Contract: engine.Contract{Latency: k.goal, Cutoff: coverage.Cutoff{Goal: k.goal, Reserve: max(time.Duration(0.08*float64(k.goal)), 9*time.Millisecond), MinRatio: k.least},
 				Complete: true, MaxRuns: 2, MaxFanout: 10_000},
 			Pools: pools, Others: snapshot.Shards,
 			Work: &simWork{board: b, snapshot: snapshot, now: now, draw: draw},
 		}
+		if k.name != "returning" {
+			req.Service = k.name
+		}
+		if age := time.Since(began) - callerWay; !l.blind && age > k.goal/10 {
+			req.Waited = age
+		}
 		ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 		result, err := engines[e].Run(ctx, req)
 		cancel()
 		time.Sleep(callerWay)
 		refused := err != nil && status.From(err).Outcome == status.NotRun
-		if refused && try == 0 {
+		if refused && try == 0 && waited == 0 {
 			wait := min(status.From(err).RetryAfter, time.Until(deadline)/3)
 			heldShort = time.Since(sent) <= k.goal/4
 			time.Sleep(wait)
--- a/internal/engine/pools.go
+++ b/internal/engine/pools.go
@@ -16,6 +16,9 @@
 	repeats *retrybudget.FleetShare
 	// repeatPart is this entry's part of the fleet's minimum of repeats. Guarded by mu.
 	repeatPart float64
+	// spare is the number of sub-requests in flight below which late callers get a place.
+	// Guarded by mu.
+	spare int
 	// limit bounds the sub-requests in flight. Guarded by mu.
 	limit *shardlimit.Limiter
 }
@@ -55,6 +58,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if req.late() {
+		return p.limit.InFlight() < min(p.spare, p.limit.Limit())
+	}
 	return p.limit.Free()
 }
 
@@ -127,6 +133,7 @@
 		p.mu.Lock()
 		p.repeats.SetSettings(c.Repeats)
 		p.repeatPart = group.RepeatPart
+		p.spare = (group.Slots + c.Runners - 1) / max(c.Runners, 1)
 		p.mu.Unlock()
 		next[group.Name] = p
 	}
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -165,7 +165,7 @@
 	if n, most := len(chosen.Shards), q.req.Contract.MaxFanout; most > 0 && n > most {
 		return status.New(status.TooLarge, status.NotRun, "the snapshot has %d shards and the sheet allows %d", n, most)
 	}
-	if err := q.servable(chosen); err != nil {
+	if err := q.awaitServable(ctx, chosen); err != nil {
 		return err
 	}
 	for i := range q.subs {
@@ -246,6 +246,43 @@
 	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause)
 }
 
+const (
+	// lateWait is the longest time for which the request of a late caller waits for places
+	// that no other request needs, and latePoll the interval at which it looks for them.
+	lateWait = time.Second
+	latePoll = 10 * time.Millisecond
+	// lateReserve is the time left to its deadline with which it stops waiting.
+	lateReserve = 300 * time.Millisecond
+	// maxLate bounds the requests that wait so.
+	maxLate = 64
+)
+
+// awaitServable is servable for a request that may wait. A caller whose goal has passed
+// loses nothing by a wait, while one who came just now would: late callers get the places
+// that are left.
+func (q *query) awaitServable(ctx context.Context, chosen *index.Snapshot) error {
+	err := q.servable(chosen)
+	if err == nil || !q.req.late() {
+		return err
+	}
+	waiting := &q.engine.lateWaiting
+	if waiting.Add(1) > maxLate {
+		waiting.Add(-1)
+		return err
+	}
+	defer waiting.Add(-1)
+	end := time.Now().Add(min(lateWait, time.Until(q.req.Deadline)-lateReserve))
+	for err != nil && time.Now().Before(end) {
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(latePoll):
+			err = q.servable(chosen)
+		}
+	}
+	return err
+}
+
 // opensIn returns the time until enough of the closed shards take requests again, zero
 // when it is not known.
 func opensIn(waits []time.Duration, shards, open int, need coverage.Cutoff) time.Duration {
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -24,6 +24,8 @@
 	Contract Contract
 	// Arrival is the time at which the request had been read.
 	Arrival time.Time
+	// Waited is how long the caller has waited before Arrival, as far as it is known.
+	Waited time.Duration
 	// Deadline is the time by which the final answer must leave.
 	Deadline time.Time
 	// Fingerprint identifies equal requests. Engine.Fingerprint returns it. Zero keeps
@@ -44,10 +46,17 @@
 	Work Work
 }
 
+// late reports whether the caller cannot be answered within the goal of its first call any
+// more.
+func (r *Request) late() bool {
+	return r.Contract.Latency > 0 && r.Waited >= r.Contract.Latency
+}
+
 // Contract holds the limits of one service.
 type Contract struct {
 	// Latency is the contracted latency. Admission gives a request that waits
-	// longer the lowest rank.
+	// longer the lowest rank, and one whose caller has waited longer gets the places
+	// that are left.
 	Latency time.Duration
 	// Cutoff says when an answer leaves without the missing shards.
 	Cutoff coverage.Cutoff
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -145,6 +145,7 @@
 		Body:          req.Body,
 		ElapsedUs:     time.Since(req.Arrival).Microseconds(),
 		WaitUs:        req.Wait.Microseconds(),
+		WaitedUs:      req.Waited.Microseconds(),
 		SheetRevision: max(p.sheet.Revision, f.newestRevision()),
 		Receiver:      f.self.Entry,
 		Leaving:       statedLeaving(f.core, route),
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -191,9 +191,15 @@
 			Shards:         max(len(svc.Relay.Shards), 1),
 		})
 	}
+	slots := make(map[string]int, len(p.sheet.Groups))
+	for i := range p.targets.Targets {
+		if t := &p.targets.Targets[i]; !t.Leaving {
+			slots[t.Group] += t.Slots
+		}
+	}
 	for i := range p.sheet.Groups {
 		name := p.sheet.Groups[i].Name
-		c.Pools = append(c.Pools, engine.CataloguePool{Name: name, RepeatPart: p.shared.repeatPart(p.gathered[name])})
+		c.Pools = append(c.Pools, engine.CataloguePool{Name: name, RepeatPart: p.shared.repeatPart(p.gathered[name]), Slots: slots[name]})
 	}
 	for i := range p.targets.Targets {
 		t := &p.targets.Targets[i]
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,7 @@
 	hosted    atomic.Int64
 	start     time.Time
 	forwarder *forwarder
+	ages      *callerAges
 	// aborted ends when the entry stops and running requests get their final answer.
 	aborted context.Context
 	abort   context.CancelFunc
@@ -112,6 +113,7 @@
 		draws:     make(map[string]*atomic.Uint64),
 	}
 	r.forwarder = newForwarder(&r.cfg)
+	r.ages = newCallerAges(r.start)
 	r.fleetStart = r.start
 	r.fit.Store(true)
 	r.aborted, r.abort = context.WithCancel(context.Background())
@@ -165,7 +167,7 @@
 // publish tells the engine and the connections about a plan. mu must be held.
 func (r *Relay) publish(p *plan) {
 	c := p.catalogue()
-	c.Entries, c.Repeats = r.shared.entries, r.cfg.Repeats
+	c.Entries, c.Runners, c.Repeats = r.shared.entries, r.shared.homes, r.cfg.Repeats
 	r.cfg.Core.SetCatalogue(c)
 	r.cfg.Targets.Configure(p.connectionTargets(), func(t sheet.Target) int { return t.MaxConnections })
 }
@@ -277,6 +279,7 @@
 		return refusal(status.New(status.NotFound, status.NotRun, "no service of host %.80q has a prefix of the path", req.Host))
 	}
 	if route.layout != nil {
+		req = r.ages.estimate(req, route.service.Name)
 		if answer := r.forward(ctx, req, p, route); answer != nil {
 			return answer
 		}
@@ -315,14 +318,15 @@
 		wait = min(wait, max(req.Wait-callerMargin, 0))
 	}
 	goal := time.Duration(svc.Latency.ContractMS) * time.Millisecond
+	cutoff := cutoffGoal(goal, req.Waited)
 	return &engine.Request{
 		ID:      req.ID,
 		Service: svc.Name,
 		Contract: engine.Contract{
 			Latency: goal,
 			Cutoff: coverage.Cutoff{
-				Goal:     goal,
-				Reserve:  max(time.Duration(reservePart*float64(goal)), minReserve),
+				Goal:     cutoff,
+				Reserve:  max(time.Duration(reservePart*float64(cutoff)), minReserve),
 				MinRatio: svc.Coverage.MinRatio,
 			},
 			Complete:  true,
@@ -330,6 +334,7 @@
 			MaxFanout: svc.Limits.MaxFanout,
 		},
 		Arrival:         req.Arrival,
+		Waited:          req.Waited,
 		Deadline:        req.Arrival.Add(wait),
 		Unlimited:       true,
 		SheetRevision:   p.sheet.Revision,
@@ -337,6 +342,23 @@
 	}
 }
 
+// lateGoals is the number of goals within which a caller is answered whose own has passed:
+// nothing is gained by leaving shards out any more.
+const lateGoals = 2
+
+// cutoffGoal returns the time from arrival by which an answer should leave, for a caller
+// who waited before: what is left of the goal of its first call while that is at least half,
+// and the goal of this call otherwise.
+func cutoffGoal(goal, waited time.Duration) time.Duration {
+	switch left := goal - waited; {
+	case left >= goal/2:
+		return left
+	case left <= 0:
+		return lateGoals * goal
+	}
+	return goal
+}
+
 // gather answers with the merged records of the shards.
 func (r *Relay) gather(ctx context.Context, req *relayapi.Request, route *route, core *engine.Request) *relayapi.Answer {
 	w := &gatherWork{work: work{relay: r, req: req, layout: route.layout, deadline: core.Deadline, maxBody: maxPartBytes}, top: route.relay.TopRecords}
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -26,6 +26,9 @@
 	Arrival time.Time
 	// Wait is how long the caller waits from then, zero when it did not say.
 	Wait time.Duration
+	// Waited is how long the caller has waited before this attempt, as its receiver
+	// estimates.
+	Waited time.Duration
 }
 
 // Reply is a target's complete reply.
