Name the wait for closed shards only where they are needed

Cause: the played load of a shard that is down showed it: refusals added the 250 ms for which the shard counts as down to the time to return, although the contract can spare it, so that callers came back late; as late callers they then got places up to the entry's part of all slots, also at shards with one good target. Change: the wait counts only when the other shards are too few; late callers leave half of a shard's limit. TestDownShardDoesNotDelayReturns fails before.

--- a/internal/engine/heavy_test.go
+++ b/internal/engine/heavy_test.go
@@ -186,3 +186,18 @@
 		t.Errorf("nothing is gained by knowing who is late: %.3f and %.3f", blind, inAim)
 	}
 }
+
+// Plays a shard that is down while others are busy. Guards against callers who are told to
+// come back when the shard may be up again, although the others are enough: their second
+// answer is late.
+func TestDownShardDoesNotDelayReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := loads()["lost"]
+		l.entries = 6
+		wide := l.play(1).by["wide"]
+		t.Logf("in aim %d, late %d of %d", wide.inAim, wide.late, wide.asked)
+		if wide.late > wide.inAim/2 {
+			t.Errorf("%d late answers beside %d in aim", wide.late, wide.inAim)
+		}
+	})
+}
--- a/internal/engine/pools.go
+++ b/internal/engine/pools.go
@@ -59,7 +59,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if req.late() {
-		return p.limit.InFlight() < min(p.spare, p.limit.Limit())
+		return p.limit.InFlight() < max(min(p.spare, p.limit.Limit()/2), 1)
 	}
 	return p.limit.Free()
 }
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -242,7 +242,7 @@
 	if q.req.Contract.Cutoff.Meets(open, n) {
 		return nil
 	}
-	pause := returnTime(globalRand{}, q.req.Contract.Cutoff.Goal) + opensIn(waits, n, open, q.req.Contract.Cutoff)
+	pause := returnTime(globalRand{}, q.req.Contract.Cutoff.Goal) + opensIn(waits, n, q.req.Contract.Cutoff)
 	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", open, n).WithRetryAfter(pause)
 }
 
@@ -284,11 +284,15 @@
 }
 
 // opensIn returns the time until enough of the closed shards take requests again, zero
-// when it is not known.
-func opensIn(waits []time.Duration, shards, open int, need coverage.Cutoff) time.Duration {
+// when it is not known or the others are enough: those are only busy.
+func opensIn(waits []time.Duration, shards int, need coverage.Cutoff) time.Duration {
+	others := shards - len(waits)
+	if need.Meets(others, shards) {
+		return 0
+	}
 	slices.Sort(waits)
 	for i, wait := range waits {
-		if need.Meets(open+i+1, shards) {
+		if need.Meets(others+i+1, shards) {
 			return wait
 		}
 	}
