--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -63,6 +63,7 @@
 		Body:    s.Body,
 		Arrival: time.Now().Add(-elapsed),
 		Wait:    wait,
+		Hop:     hopMargin,
 		Waited:  min(max(time.Duration(s.WaitedUs)*time.Microsecond, 0), maxElapsed),
 	}}, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -326,7 +326,7 @@
 			Latency: goal,
 			Cutoff: coverage.Cutoff{
 				Goal:     cutoff,
-				Reserve:  max(time.Duration(reservePart*float64(cutoff)), minReserve),
+				Reserve:  max(time.Duration(reservePart*float64(cutoff)), minReserve) + req.Hop,
 				MinRatio: svc.Coverage.MinRatio,
 			},
 			Complete:  true,
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -29,6 +29,9 @@
 	// Waited is how long the caller has waited before this attempt, as its receiver
 	// estimates.
 	Waited time.Duration
+	// Hop is kept for the way of the answer to the entry that received the request, zero
+	// at that entry.
+	Hop time.Duration
 }
 
 // Reply is a target's complete reply.
