--- a/internal/engine/loaded.go
+++ b/internal/engine/loaded.go
@@ -346,8 +346,9 @@
 }
 
 // hedgePart is the part of the time to the cutoff after which a sub-request without
-// a reply is sent to a second target. It leaves the second target the longer part.
-const hedgePart = 0.45
+// a reply is sent to a second target. It leaves the second target twice the time of a
+// usual reply; an earlier hedge spends repeats on replies that are under way.
+const hedgePart = 0.6
 
 func (l *loaded) hedgeDelay(req *Request) (time.Duration, bool) {
 	delay, ok := l.usualDelay(req.Service)
