Show from logs what targets and requests did over time

balsam-ctl load reads the lines of requests of any number of entries and prints, for each interval, how requests ended, why they were refused, and the attempts, places in use, latencies, hedges and what was left out by shard and target. The lines of requests have a setting, request_lines_per_second, and milliseconds in their time.

--- a/cmd/balsam-entry/main.go
+++ b/cmd/balsam-entry/main.go
@@ -15,6 +15,9 @@
 )
 
 // Exit statuses.
+// logTimeFormat has milliseconds: the lines of one request come within one second.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 const (
 	exitFailed = 1
 	exitUsage  = 2
@@ -74,6 +77,7 @@
 	if err != nil {
 		fail(exitUsage, err)
 	}
+	zerolog.TimeFieldFormat = logTimeFormat
 	log := zerolog.New(out).Level(l).With().Timestamp().Logger()
 	entry.UseKratosLogger(log)
 	return log
--- a/internal/ctl/cli.go
+++ b/internal/ctl/cli.go
@@ -23,6 +23,7 @@
 	Query  QueryCommand  `cmd:"" help:"Send one search and show the answer and its coverage."`
 	// Explain reads logs and calls no entry.
 	Explain ExplainCommand `cmd:"" help:"Show from a log what was decided about a request."`
+	Load    LoadCommand    `cmd:"" help:"Show from a log what requests and targets did over time."`
 }
 
 // SheetCommands groups the commands on sheet files.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -68,15 +68,11 @@
 
 // Run runs the command.
 func (c *ExplainCommand) Run(_ context.Context, out cli.Output) error {
-	in := io.Reader(os.Stdin)
-	if c.File != "-" {
-		f, err := os.Open(c.File)
-		if err != nil {
-			return &cli.UsageError{Message: err.Error()}
-		}
-		defer f.Close()
-		in = f
+	in, err := openLog(c.File)
+	if err != nil {
+		return err
 	}
+	defer in.Close()
 	steps, err := explain(in, c.RequestID)
 	if err != nil {
 		return err
@@ -102,25 +98,17 @@
 	}
 	accepted := make(map[version]decision)
 	var steps []decision
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, maxLogLine)
-	for scanner.Scan() {
-		text := scanner.Text()
-		brace := strings.IndexByte(text, '{')
-		var l logLine
-		if brace < 0 || json.Unmarshal([]byte(text[brace:]), &l) != nil {
-			continue
-		}
+	err := readLog(in, func(l *logLine) {
 		if l.Kind == "document_accepted" {
 			var v version
 			if n, _ := fmt.Sscanf(l.Detail, "%s revision %d", &v.key, &v.revision); n == 2 {
 				v.entry = l.Entry
 				accepted[v] = decision{l.Time, l.Entry, fmt.Sprintf("%s revision %d came into force, from %s", v.key, v.revision, l.Actor)}
 			}
-			continue
+			return
 		}
 		if l.RequestID != id {
-			continue
+			return
 		}
 		if l.Message == "request" {
 			for key, revision := range map[string]uint64{"sheet": l.Sheet, "targets": l.Targets} {
@@ -130,11 +118,39 @@
 			}
 		}
 		steps = append(steps, l.decisions()...)
+	})
+	return steps, err
+}
+
+// openLog opens a log file, or standard input for "-".
+func openLog(name string) (io.ReadCloser, error) {
+	if name == "-" {
+		return io.NopCloser(os.Stdin), nil
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, &cli.UsageError{Message: err.Error()}
+	}
+	return f, nil
+}
+
+// readLog calls f for each line of a log. Text before the first brace of a line is
+// ignored, and so are lines that hold no JSON object.
+func readLog(in io.Reader, f func(*logLine)) error {
+	scanner := bufio.NewScanner(in)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		brace := strings.IndexByte(text, '{')
+		var l logLine
+		if brace >= 0 && json.Unmarshal([]byte(text[brace:]), &l) == nil {
+			f(&l)
+		}
 	}
 	if err := scanner.Err(); err != nil {
-		return nil, status.Wrap(err, status.InvalidArgument, "", "reading the log")
+		return status.Wrap(err, status.InvalidArgument, "", "reading the log")
 	}
-	return steps, nil
+	return nil
 }
 
 // decisions returns the steps that one line tells.
@@ -152,7 +168,7 @@
 	steps := []decision{{l.Time, l.Entry, fmt.Sprintf("service %s with sheet %d and targets %d: goal %d ms, deadline %d ms",
 		l.Service, l.Sheet, l.Targets, l.GoalMS, l.DeadlineMS)}}
 	for attempt := range strings.FieldsSeq(l.Attempts) {
-		steps = append(steps, decision{l.Time, l.Entry, "  " + describeAttempt(attempt)})
+		steps = append(steps, decision{l.Time, l.Entry, "  " + parseAttempt(attempt).String()})
 	}
 	text := fmt.Sprintf("answered with %d of %d shards after %d ms", l.Answered, l.Shards, l.TookMS)
 	if l.Code != "" {
@@ -180,32 +196,3 @@
 	}
 	return steps
 }
-
-// causes says in words why an attempt was made, or none was.
-var causes = map[string]string{
-	"hedge":      "hedge to another target",
-	"retry":      "retry",
-	"no_replica": "no target of the shard may get work",
-	"no_budget":  "the fleet's repeats at this group are used up",
-	"over_limit": "left out: the shard is overloaded or does not answer",
-}
-
-// describeAttempt turns "shard:target@start+duration=code(cause)" into words.
-func describeAttempt(s string) string {
-	shard, rest, _ := strings.Cut(s, ":")
-	target, rest, _ := strings.Cut(rest, "@")
-	rest, cause, _ := strings.Cut(strings.TrimSuffix(rest, ")"), "(")
-	began, result, _ := strings.Cut(rest, "+")
-	if target == "" {
-		return fmt.Sprintf("shard %s at %s ms: %s", shard, began, causes[cause])
-	}
-	text := fmt.Sprintf("shard %s at %s ms: sent to %s", shard, began, target)
-	if cause != "" {
-		text += " (" + causes[cause] + ")"
-	}
-	if result == "?" {
-		return text + ", no reply by the end"
-	}
-	took, code, _ := strings.Cut(result, "=")
-	return fmt.Sprintf("%s, %s after %s ms", text, code, took)
-}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -53,6 +54,9 @@
 	// PolicyOn turns the load policies on.
 	PolicyOn bool
 	Metrics  *Metrics
+	// RequestLines bounds the lines about requests a second. Zero selects
+	// DefaultRequestLines.
+	RequestLines uint32
 	// Spread tells peers of new facts at once. It must not block and may be nil.
 	Spread func()
 	// Verify checks documents and leaving targets with peers after a pause of the
@@ -120,7 +124,7 @@
 		verify:  cfg.Verify,
 		audit:   cfg.Audit,
 	}
-	e.requests, e.beliefs = requestLog(cfg.Log), beliefLog(cfg.Log)
+	e.requests, e.beliefs = requestLog(cfg.Log, cmp.Or(cfg.RequestLines, DefaultRequestLines)), beliefLog(cfg.Log)
 	e.pause = newPauseGuard(cfg.Self, e.afterPause)
 	return e
 }
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -12,8 +12,8 @@
 
 // Limits of the log of requests. They bound its volume when every request fails.
 const (
-	// requestLinesPerSecond is the number of requests that are logged in full.
-	requestLinesPerSecond = 20
+	// DefaultRequestLines is the number of lines about requests a second.
+	DefaultRequestLines = 20
 	// maxTraceBytes bounds the attempts in one line.
 	maxTraceBytes = 2_000
 )
@@ -92,8 +92,8 @@
 )
 
 // requestLog returns the logger of requests that did not end as they should.
-func requestLog(log zerolog.Logger) zerolog.Logger {
-	return log.Sample(&zerolog.BurstSampler{Burst: requestLinesPerSecond, Period: time.Second})
+func requestLog(log zerolog.Logger, lines uint32) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: lines, Period: time.Second})
 }
 
 // beliefLinesPerSecond bounds the lines about targets that peers reported. Many
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -113,15 +113,16 @@
 	d.pool = peerrpc.NewPool([]byte(set.PeerKey), peerrpc.Options{})
 	targets := ports.Targets(d.metrics)
 	d.core = engine.New(engine.Config{
-		Self:     d.self,
-		Log:      d.log,
-		Targets:  targets,
-		GuardKey: []byte(set.PeerKey),
-		PolicyOn: true,
-		Metrics:  &d.metrics.Metrics,
-		Spread:   func() { d.syncer.Spread() },
-		Verify:   func() { d.syncer.Refresh(context.Background()) },
-		Audit:    d.audit,
+		Self:         d.self,
+		Log:          d.log,
+		Targets:      targets,
+		GuardKey:     []byte(set.PeerKey),
+		PolicyOn:     true,
+		Metrics:      &d.metrics.Metrics,
+		RequestLines: uint32(set.RequestLinesPerSecond),
+		Spread:       func() { d.syncer.Spread() },
+		Verify:       func() { d.syncer.Refresh(context.Background()) },
+		Audit:        d.audit,
 	})
 	d.relay = relay.New(relay.Config{
 		Self:    d.self,
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -28,6 +28,8 @@
 	PeerKey string `json:"peer_key"`
 	// LogLevel is a zerolog level. The default is "info".
 	LogLevel string `json:"log_level"`
+	// RequestLinesPerSecond bounds the lines about requests in the log. The default is 20.
+	RequestLinesPerSecond int64 `json:"request_lines_per_second"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int64 `json:"memory_mb"`
 	// GraceS is the time from the stop signal to the kill, in seconds.
@@ -57,21 +59,25 @@
 	HomesFrom int64 `json:"homes_from"`
 }
 
+// defaultRequestLines keeps the log small when every request fails.
+const defaultRequestLines = 20
+
 // NewRelay returns the default settings.
 func NewRelay() *Relay {
 	return &Relay{
-		LogLevel:           "info",
-		MemoryMB:           256,
-		GraceS:             6,
-		RepeatRatio:        0.2,
-		RepeatMinimum:      50,
-		RepeatWindowS:      10,
-		WatchersPerZone:    2,
-		ExchangeIntervalMS: 500,
-		Cores:              1,
-		HomesPerZone:       homes.DefaultPerZone,
-		EntriesPerHome:     homes.DefaultEntriesPerHome,
-		HomesFrom:          homes.DefaultMinEntries,
+		LogLevel:              "info",
+		RequestLinesPerSecond: defaultRequestLines,
+		MemoryMB:              256,
+		GraceS:                6,
+		RepeatRatio:           0.2,
+		RepeatMinimum:         50,
+		RepeatWindowS:         10,
+		WatchersPerZone:       2,
+		ExchangeIntervalMS:    500,
+		Cores:                 1,
+		HomesPerZone:          homes.DefaultPerZone,
+		EntriesPerHome:        homes.DefaultEntriesPerHome,
+		HomesFrom:             homes.DefaultMinEntries,
 	}
 }
 
@@ -92,6 +98,7 @@
 	}
 	c.Key("peer_key", r.PeerKey)
 	c.OneOf("log_level", r.LogLevel, "debug", "info", "warn", "error")
+	c.Range("request_lines_per_second", r.RequestLinesPerSecond, 1, 100_000)
 	c.Range("memory_mb", r.MemoryMB, 32, 1<<20)
 	c.Range("grace_s", int64(r.GraceS), 1, 600)
 	c.Ratio("repeat_ratio", r.RepeatRatio)
