--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -41,6 +41,8 @@
 	// maxConnections is enough for two watches, a poll and a host list.
 	maxConnections = 4
 	dialTimeout    = time.Second
+	// maxHeaderBytes bounds the header of an answer, which holds a few fields.
+	maxHeaderBytes = 64 << 10
 	idleTimeout    = 90 * time.Second
 )
 
--- a/transport/platformhttp/reader.go
+++ b/transport/platformhttp/reader.go
@@ -7,9 +7,9 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/retryafter"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 )
@@ -43,6 +43,8 @@
 		DialContext:     (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: opts.KeepAlive}).DialContext,
 		MaxConnsPerHost: maxConnections,
 		IdleConnTimeout: idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(address),
@@ -136,7 +138,7 @@
 	// needed.
 	_, _ = io.CopyN(io.Discard, res.Body, maxErrorBytes)
 	err := status.New(codeOf(res.StatusCode), "", "platform answered %s", res.Status)
-	return err.WithRetryAfter(retryAfter(res.Header.Get("Retry-After"), time.Now()))
+	return err.WithRetryAfter(retryafter.Parse(res.Header, time.Now(), maxRetryAfter))
 }
 
 func codeOf(httpStatus int) status.Code {
@@ -152,15 +154,3 @@
 	}
 	return status.InvalidArgument
 }
-
-// retryAfter parses the header Retry-After, seconds or a date, and bounds the
-// result to 5 min. It returns 0 for anything else.
-func retryAfter(value string, now time.Time) time.Duration {
-	if seconds, err := strconv.ParseUint(value, 10, 32); err == nil {
-		return min(time.Duration(seconds)*time.Second, maxRetryAfter)
-	}
-	if date, err := http.ParseTime(value); err == nil {
-		return min(max(date.Sub(now), 0), maxRetryAfter)
-	}
-	return 0
-}
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -10,7 +10,6 @@
 	"context"
 
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -60,6 +59,8 @@
 	pools map[string]*pool
 
 	metrics Metrics
+	// reading bounds the bodies that are being read at the same time.
+	reading readingBudget
 }
 
 // Metrics receives counts of connection events. All methods must be safe for
@@ -307,12 +308,7 @@
 		return nil, status.New(status.TooLarge, status.Unknown, "reply of %d bytes", resp.ContentLength)
 	}
 	x.conn.allow(limit)
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	return io.ReadAll(resp.Body)
+	return x.client.reading.read(resp.Body, resp.ContentLength)
 }
 
 // ioError classifies a failed read or write.
