Play loads through the engine from the command line

Change: internal/loadmodel holds them, "balsam-load model" plays them in real time and prints what callers get, TestPlayedLoads in simulated time. Ruled out: simulated time outside of tests (the engine uses the clock of the runtime).

--- /dev/null
+++ b/internal/load/model.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/internal/loadmodel"
+	"github.com/balsamstall/balsamstall/protocol/status"
+)
+
+// ModelCommand is "balsam-load model".
+type ModelCommand struct {
+	Loads   []string      `arg:"" optional:"" help:"Loads to play: calm, slow, crest, lost, shed, partition or outage. The default is all of them."`
+	Entries int           `help:"Number of entries." default:"6"`
+	Seeds   uint64        `help:"Number of seeds; each plays the load once." default:"1"`
+	Length  time.Duration `help:"Longest time in which callers come. The default is that of the load." placeholder:"TIME"`
+	JSON    bool          `help:"Print JSON." name:"json"`
+}
+
+// Help implements kong.HelpProvider.
+func (*ModelCommand) Help() string {
+	return "Example:\n\n  balsam-load model crest shed --entries 6 --seeds 3\n\n" +
+		"Plays loads of searches against simulated targets through the request engine, in real time, and prints what callers get. " +
+		"The loads play one after the other, the seeds of one load at the same time. Tests play the same loads in simulated time: " +
+		"go test -v -run TestPlayedLoads ./internal/engine -args -play.seeds=3.\n\n" +
+		"Exit codes: 0 played, 1 a failure, 2 bad usage."
+}
+
+// Bounds of the model command.
+const (
+	maxModelEntries = 200
+	maxModelSeeds   = 20
+)
+
+// modelResult is one load in the output.
+type modelResult struct {
+	Load    string                        `json:"load"`
+	Entries int                           `json:"entries"`
+	Seeds   uint64                        `json:"seeds"`
+	Kinds   map[string]*loadmodel.Outcome `json:"kinds"`
+}
+
+// Run runs the command.
+func (c *ModelCommand) Run(ctx context.Context, out cli.Output) error {
+	names := c.Loads
+	if len(names) == 0 {
+		names = loadmodel.Names
+	}
+	for _, name := range names {
+		if !slices.Contains(loadmodel.Names, name) {
+			return &cli.UsageError{Message: fmt.Sprintf("load %q is not one of %s", name, strings.Join(loadmodel.Names, ", "))}
+		}
+	}
+	if c.Entries < 1 || c.Entries > maxModelEntries || c.Seeds < 1 || c.Seeds > maxModelSeeds || c.Length < 0 {
+		return &cli.UsageError{Message: fmt.Sprintf("--entries must be from 1 to %d, --seeds from 1 to %d and --length not negative", maxModelEntries, maxModelSeeds)}
+	}
+	var results []modelResult
+	for _, name := range names {
+		if ctx.Err() != nil {
+			return status.Wrap(ctx.Err(), status.Canceled, "", "playing loads")
+		}
+		kinds, summary := c.play(name)
+		if !c.JSON {
+			fmt.Fprintln(out, summary)
+		}
+		results = append(results, modelResult{Load: name, Entries: c.Entries, Seeds: c.Seeds, Kinds: kinds})
+	}
+	if c.JSON {
+		return out.JSON(map[string][]modelResult{"loads": results})
+	}
+	return nil
+}
+
+// play plays a load with all seeds and returns the sums.
+func (c *ModelCommand) play(name string) (kinds map[string]*loadmodel.Outcome, summary string) {
+	l := loadmodel.Named(name, c.Entries)
+	if c.Length > 0 {
+		l.Length = min(l.Length, c.Length)
+	}
+	played := make([]*loadmodel.Result, c.Seeds)
+	var running sync.WaitGroup
+	for seed := range c.Seeds {
+		running.Go(func() { played[seed] = l.Play(seed + 1) })
+	}
+	running.Wait()
+	kinds = make(map[string]*loadmodel.Outcome)
+	for _, k := range l.Kinds {
+		kinds[k.Name] = &loadmodel.Outcome{}
+		for _, r := range played {
+			kinds[k.Name].Add(r.Kind(k.Name))
+		}
+	}
+	return kinds, l.Summary(name, kinds)
+}
