Log and count the rate limits of targets and the attempts to them

Cause: when a target got more requests than the limit that it announced, no log line and no counter showed the announcement, or whether first attempts, hedges, retries or isolated runs made the excess. Change: requestrate parses the field (one decimal number; anything else is ignored, counted and logged); ratelimit.Announcements keeps the newest announcement of each target; targetrate logs news about limits and, once a second, the attempts to each limited target by cause. Counters: rate_limits_total, invalid_rate_limits_total, rate_limited_attempts_total. No decision uses them yet.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -109,6 +110,7 @@
 		Number:          q.attempts,
 		Shard:           s.shard,
 		Target:          target,
+		Cause:           cause,
 		Snapshot:        q.snapshot.Snapshot,
 		FreshConnection: s.freshConnection,
 		SilentAfter:     q.engine.policy.silentAfter(q.req.Service),
@@ -135,6 +137,7 @@
 func (e *Engine) send(ctx context.Context, req *Request, a Attempt, isolated bool) (reply any, err error) {
 	token := e.policy.start(req, a.Shard, a.Target)
 	start := e.self.Clock()
+	e.rateLimits.CountAttempt(a.Target, attemptKind(a.Cause, isolated))
 	reply, err = req.Work.Send(ctx, a)
 	if isolated {
 		e.isolated.end(a.Target)
@@ -149,6 +152,14 @@
 	return reply, err
 }
 
+// attemptKind returns the name of a kind of attempts in metrics.
+func attemptKind(cause string, isolated bool) string {
+	if isolated {
+		return "isolated"
+	}
+	return cmp.Or(cause, "first")
+}
+
 // handleResult processes the result of an attempt.
 func (q *query) handleResult(ctx context.Context, r attemptResult) {
 	if r.err == nil || status.From(r.err).Outcome != status.NotRun {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 	"github.com/balsamstall/balsamstall/coordination/admission"
 	"github.com/balsamstall/balsamstall/coordination/pause"
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
@@ -76,6 +77,7 @@
 	guard       *crashGuard
 	isolated    *isolatedRuns
 	notices     *notices
+	rateLimits  *targetrate.Limiter
 	failing     *failingSet
 	zones       *zoneSet
 	notifyPeers func()
@@ -125,6 +127,7 @@
 		audit:       cfg.Audit,
 	}
 	e.requestLog, e.targetEventLog = newRequestLog(cfg.Log, cmp.Or(cfg.RequestLinesPerSecond, DefaultRequestLinesPerSecond)), newTargetEventLog(cfg.Log)
+	e.rateLimits = targetrate.New(targetrate.Config{Clock: cfg.Self.Clock, Log: e.targetEventLog, Metrics: &cfg.Metrics.RateLimits, NotifyPeers: cfg.NotifyPeers})
 	e.pause = newPauseGuard(cfg.Self, e.afterPause)
 	return e
 }
@@ -132,6 +135,7 @@
 // SetCatalogue replaces the known services, targets and target groups.
 func (e *Engine) SetCatalogue(c *Catalogue) {
 	e.notices.setListed(c.Targets, e.self.Clock())
+	e.rateLimits.SetTargets(startTimes(c.Targets))
 	e.policy.setCatalogue(c)
 	e.isolated.setTargets(c.Targets)
 }
@@ -199,6 +203,9 @@
 	return e.policy.admit(ctx, req)
 }
 
+// RateLimits returns the limiter of the requests to targets that announced a rate limit.
+func (e *Engine) RateLimits() *targetrate.Limiter { return e.rateLimits }
+
 // RecordViolation counts and logs a violated invariant.
 func (e *Engine) RecordViolation(name string, err error) {
 	e.metrics.Violations.Add(name, 1)
--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -68,10 +68,7 @@
 
 // setListed replaces the targets of the catalogue.
 func (n *notices) setListed(targets []CatalogueTarget, now time.Duration) {
-	started := make(map[string]int64, len(targets))
-	for i := range targets {
-		started[targets[i].ID] = targets[i].Started
-	}
+	started := startTimes(targets)
 	n.update(func() {
 		n.started = started
 		n.leaving.SetListed(started, now)
@@ -79,6 +76,15 @@
 	})
 }
 
+// startTimes returns the start times of the targets in Unix milliseconds.
+func startTimes(targets []CatalogueTarget) map[string]int64 {
+	started := make(map[string]int64, len(targets))
+	for i := range targets {
+		started[targets[i].ID] = targets[i].Started
+	}
+	return started
+}
+
 // usable reports whether a target may get new work.
 func (e *Engine) usable(target string) bool { return !e.notices.blocked(target, e.self.Clock()) }
 
@@ -177,13 +183,14 @@
 // IsLeaving reports whether a target is leaving.
 func (e *Engine) IsLeaving(target string) bool { return e.notices.isLeaving(target, e.self.Clock()) }
 
-// ExpireNotices removes the notices that have ended.
+// ExpireNotices removes the notices and rate limits that have ended. It is called periodically.
 func (e *Engine) ExpireNotices() {
 	now := e.self.Clock()
 	e.notices.update(func() {
 		e.notices.leaving.Expire(now)
 		e.notices.holdOffs.Expire(now)
 	})
+	e.rateLimits.Maintain()
 }
 
 // recordAttemptError marks a target as leaving when it refused an attempt because it drains, and logs
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -20,6 +21,8 @@
 	UnreachableZones expvar.Int
 	// HoldOffs counts refusals in which a target asked for a time without new work.
 	HoldOffs expvar.Int
+	// RateLimits counts the rate limits of targets.
+	RateLimits targetrate.Metrics
 	// FailingTargets counts targets that were marked as failing because of a peer's report.
 	FailingTargets expvar.Int
 	// Pauses counts pauses of the process.
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -59,9 +59,13 @@
 			break
 		}
 		tried = append(tried, target)
-		t.recordStart(shard, target, "")
+		cause := causeFirst
+		if number > 1 {
+			cause = causeRetry
+		}
+		t.recordStart(shard, target, cause)
 		reply, err := e.send(ctx, req, Attempt{
-			Number: number, Shard: shard, Target: target, Snapshot: chosen.Snapshot, AtMostOnce: true, FreshConnection: true,
+			Number: number, Shard: shard, Target: target, Cause: cause, Snapshot: chosen.Snapshot, AtMostOnce: true, FreshConnection: true,
 		}, guard.isolated)
 		t.recordEnd(shard, target, err)
 		guard.recordAttempt(target, err)
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -74,9 +74,11 @@
 // Attempt is the execution of a sub-request on one target.
 type Attempt struct {
 	// Number is the sequence number of the attempt within the request, from 1.
-	Number   uint32
-	Shard    int
-	Target   string
+	Number uint32
+	Shard  int
+	Target string
+	// Cause tells why the attempt is made, for metrics: empty for a first attempt.
+	Cause    string
 	Snapshot ids.Snapshot
 	// AtMostOnce is set for a request that must not run more than once.
 	AtMostOnce bool
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -43,6 +43,7 @@
 
 // send sends one attempt. It returns an error for a reply that cannot be used as an answer.
 func (w *requestWork) send(ctx context.Context, a engine.Attempt) (*relayapi.Reply, error) {
+	sent := w.relay.cfg.Self.Clock()
 	reply, err := w.relay.cfg.Targets.Send(ctx, a.Target, w.req, time.Until(w.deadline), targethttp.Options{
 		FreshConnection: a.FreshConnection && !a.AtMostOnce,
 		SilentAfter:     a.SilentAfter,
@@ -55,7 +56,7 @@
 	if reply.Misdirected {
 		return nil, status.New(status.Draining, status.NotRun, "the address of target %s belongs to another target", a.Target)
 	}
-	w.applyNotices(a.Target, reply)
+	w.applyNotices(a.Target, reply, sent)
 	switch {
 	case reply.NotRun:
 		return nil, status.Wrap(&relayapi.ReplyError{Reply: reply}, status.Shed, status.NotRun, "target %s refused the request", a.Target).WithRetryAfter(reply.RetryAfter)
@@ -67,9 +68,9 @@
 	return reply, nil
 }
 
-// applyNotices applies what a target's reply states about new requests: that the target is leaving
-// or wants no requests for a time.
-func (w *requestWork) applyNotices(target string, reply *relayapi.Reply) {
+// applyNotices applies what a target's reply to a request sent at the given time states about new
+// requests: that the target is leaving, wants no requests for a time or limits their rate.
+func (w *requestWork) applyNotices(target string, reply *relayapi.Reply, sent time.Duration) {
 	if isSuccess(reply) && reply.Signature == "" {
 		return // Nothing proves that the target itself made the reply.
 	}
@@ -79,6 +80,13 @@
 	if reply.HoldOff {
 		w.relay.cfg.Engine.RecordHoldOff(target, w.req.ID, reply.RetryAfter)
 	}
+	limits := w.relay.cfg.Engine.RateLimits()
+	if reply.InvalidRateLimit != nil {
+		limits.RecordInvalid(target, w.req.ID, reply.InvalidRateLimit)
+		return
+	}
+	// A failure may have been made up by something in between, which knows no limit.
+	limits.RecordReply(target, w.req.ID, sent, reply.RateLimit, isSuccess(reply))
 }
 
 func isSuccess(reply *relayapi.Reply) bool { return reply.HTTPStatus >= 200 && reply.HTTPStatus <= 299 }
--- /dev/null
+++ b/internal/targetrate/targetrate.go
@@ -0,0 +1,165 @@
+// Package targetrate keeps the requests of all entries to targets that announced a rate limit within
+// that limit. The decisions are in coordination/ratelimit.
+package targetrate
+
+import (
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/balsamstall/balsamstall/coordination/ratelimit"
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
+)
+
+// Metrics holds the counters of a Limiter.
+type Metrics struct {
+	// Announcements counts limits that became known, changed considerably or ended.
+	Announcements expvar.Int
+	// Invalid counts replies with an invalid limit.
+	Invalid expvar.Int
+	// Attempts counts attempts to targets with a limit by cause.
+	Attempts expvar.Map
+}
+
+// Config holds the dependencies of a Limiter.
+type Config struct {
+	// Clock returns the monotonic time since the start of the process.
+	Clock func() time.Duration
+	// Log receives a limited number of lines about targets.
+	Log     zerolog.Logger
+	Metrics *Metrics
+	// NotifyPeers sends new announcements to peers immediately. It must not block.
+	NotifyPeers func()
+}
+
+// Limiter tracks the rate limits of targets. All methods are safe for concurrent use.
+type Limiter struct {
+	cfg Config
+	// limited is the number of targets with a limit, read first to avoid the lock while there are
+	// none.
+	limited atomic.Int64
+
+	mu sync.Mutex
+	// announcements is guarded by mu.
+	announcements *ratelimit.Announcements
+	// attempts counts the attempts since the last call of LogAttempts, by target and cause. Guarded by
+	// mu.
+	attempts map[string]map[string]int
+}
+
+// New returns a limiter that knows no limits.
+func New(cfg Config) *Limiter {
+	return &Limiter{cfg: cfg, announcements: ratelimit.NewAnnouncements(), attempts: make(map[string]map[string]int)}
+}
+
+// RecordReply records what a reply to a request sent at the given time states about the limit of its
+// target. complete is set if a reply without a statement proves that the target has no limit.
+func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, complete bool) {
+	if !rate.Stated && (!complete || l.limited.Load() == 0) {
+		return
+	}
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	isNews := false
+	if rate.Stated {
+		isNews = l.announcements.RecordLimit(target, now, rate.PerSecond)
+	} else {
+		isNews = l.announcements.RecordNoLimit(target, sent, now)
+	}
+	l.limited.Store(int64(l.announcements.Limited()))
+	l.mu.Unlock()
+	if isNews {
+		l.announce(ratelimit.Announcement{Target: ratelimit.Target{ID: target}, Limited: rate.Stated, PerSecond: rate.PerSecond}, requestID, "")
+	}
+}
+
+// RecordInvalid records a reply with an invalid limit, which changes nothing.
+func (l *Limiter) RecordInvalid(target, requestID string, err error) {
+	l.cfg.Metrics.Invalid.Add(1)
+	l.cfg.Log.Warn().Str("target", target).Str("request_id", requestID).Err(err).Msg("invalid rate limit ignored")
+}
+
+// Merge merges a peer's report.
+func (l *Limiter) Merge(peer string, r ratelimit.Announcement) {
+	l.mu.Lock()
+	isNews := l.announcements.Merge(r, l.cfg.Clock())
+	l.limited.Store(int64(l.announcements.Limited()))
+	l.mu.Unlock()
+	if isNews {
+		l.announce(r, "", peer)
+	}
+}
+
+// announce logs a new announcement and passes it on.
+func (l *Limiter) announce(r ratelimit.Announcement, requestID, peer string) {
+	l.cfg.Metrics.Announcements.Add(1)
+	l.cfg.NotifyPeers()
+	event := l.cfg.Log.Info().Str("target", r.ID).Int64("age_ms", r.Age.Milliseconds())
+	if requestID != "" {
+		event.Str("request_id", requestID)
+	}
+	if peer != "" {
+		event.Str("peer", peer)
+	}
+	if !r.Limited {
+		event.Msg("rate limit of target ended")
+		return
+	}
+	event.Float64("limit_per_s", r.PerSecond).Msg("target announced a rate limit")
+}
+
+// Reports returns the announcements for peers, the newest first.
+func (l *Limiter) Reports() []ratelimit.Announcement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.announcements.Reports(l.cfg.Clock())
+}
+
+// SetTargets replaces the listed targets, with their start times in Unix milliseconds.
+func (l *Limiter) SetTargets(started map[string]int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announcements.SetListed(started)
+	l.limited.Store(int64(l.announcements.Limited()))
+}
+
+// CountAttempt counts an attempt that is sent to a target, if the target has a limit.
+func (l *Limiter) CountAttempt(target, cause string) {
+	if l.limited.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, limited := l.announcements.Limit(target); !limited {
+		return
+	}
+	l.cfg.Metrics.Attempts.Add(cause, 1)
+	if l.attempts[target] == nil {
+		l.attempts[target] = make(map[string]int)
+	}
+	l.attempts[target][cause]++
+}
+
+// Maintain removes expired state and logs, for each target with a limit, the attempts since the last
+// call by cause. It is called periodically.
+func (l *Limiter) Maintain() {
+	if l.limited.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	l.announcements.Expire(l.cfg.Clock())
+	l.limited.Store(int64(l.announcements.Limited()))
+	attempts := l.attempts
+	l.attempts = make(map[string]map[string]int)
+	limits := make(map[string]float64, len(attempts))
+	for target := range attempts {
+		limits[target], _ = l.announcements.Limit(target)
+	}
+	l.mu.Unlock()
+	for target, byCause := range attempts {
+		l.cfg.Log.Info().Str("target", target).Float64("limit_per_s", limits[target]).Interface("attempts", byCause).Msg("attempts to a target with a rate limit")
+	}
+}
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -50,6 +51,10 @@
 	HoldOff bool
 	// Leaving is set if the target reports that it is leaving.
 	Leaving bool
+	// RateLimit is the number of requests per second that the target takes from all entries together.
+	RateLimit requestrate.Rate
+	// InvalidRateLimit is set if the target states a rate limit that is invalid.
+	InvalidRateLimit error
 }
 
 // Merged is an answer that combines the replies of several shards.
