Keep the requests of all entries within the rate limits of targets

What callers saw: nothing; a target in need got up to four times the requests that it had asked for, and may have failed for everyone. Cause: a target's reply can change what the fleet may send to it, but only two such statements (leaving, hold-off) reached a decision, and both concern one entry at a time. A limit that all entries share had no place in the design. Change: two entries of the target's zone, chosen by rendezvous hash, allocate half of the limit each. An attempt of any kind (first, hedge, retry, isolated, at most once, for another entry) needs a token of theirs: the choice of a target, the check whether enough shards take a request and the check before an attempt is sent all ask for it. Tokens are spaced evenly without bursts, booked at most 0.4 s ahead, void after 0.5 s, and go to the most urgent kind first. A request whose needed shards have no token is refused at once, with the time until one is likely to be free. Announcements spread with the exchanges. Why it works: whoever holds the tokens, allocators book no more than the limit; if the entries disagree about one allocator, three halves of it. A fleet without limits sends and computes nothing. Result: TestRateLimitedServerGetsNoMoreRequestsThanItsLimit failed in 15 of 15 subtests before, passes 15 of 15 (-race -count=5). The simulated fleet of 1, 9, 90 and 195 entries with restarts, cuts and differing views stays within 1.5 x the limit + 5 (-race -count=3).

--- a/coordination/ratelimit/announcements.go
+++ b/coordination/ratelimit/announcements.go
@@ -19,6 +19,8 @@
 	retention = 10 * time.Minute
 	// maxTargets limits the number of announcements. A zone has up to 6,700 targets by design.
 	maxTargets = 8192
+	// maxPerSecond is the largest limit that is accepted from a peer.
+	maxPerSecond = 1e6
 	// changedFraction is the relative change of a limit from which it is news for peers.
 	changedFraction = 0.1
 )
@@ -100,7 +102,7 @@
 	before, known := a.known[r.ID]
 	started, listed := a.listed[r.ID]
 	at := now - r.Age
-	if listed && !sameIncarnation(started, r.Started) || known && at <= before.at || !known && !r.Limited || r.PerSecond < 0 || r.Age < 0 || r.Age >= retention {
+	if listed && !sameIncarnation(started, r.Started) || known && at <= before.at || !known && !r.Limited || !(r.PerSecond >= 0) || r.PerSecond > maxPerSecond || r.Age < 0 || r.Age >= retention {
 		return false
 	}
 	return a.set(r.ID, statement{started: cmp.Or(r.Started, started), limited: r.Limited, perSecond: r.PerSecond, at: at})
--- a/coordination/ratelimit/announcements_test.go
+++ b/coordination/ratelimit/announcements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -64,7 +65,8 @@
 	is := is.New(t)
 	a := ratelimit.NewAnnouncements()
 	now := time.Hour
-	for _, r := range []ratelimit.Announcement{{PerSecond: -1, Limited: true}, {Age: -time.Second, Limited: true}, {Age: time.Hour, Limited: true}, {}} {
+	for _, r := range []ratelimit.Announcement{{PerSecond: -1, Limited: true}, {Age: -time.Second, Limited: true}, {Age: time.Hour, Limited: true}, {},
+		{PerSecond: math.NaN(), Limited: true}, {PerSecond: math.Inf(1), Limited: true}} {
 		r.ID = "t"
 		is.True(!a.Merge(r, now))
 	}
@@ -76,7 +78,7 @@
 	is.Equal(a.Limited(), 0)
 }
 
-func ExampleAnnouncements() {
+func Example() {
 	a := ratelimit.NewAnnouncements()
 	a.RecordLimit("t1", 10*time.Second, 4.5)
 	fmt.Println(a.Limit("t1"))
--- /dev/null
+++ b/coordination/ratelimit/tokens.go
@@ -0,0 +1,152 @@
+package ratelimit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// tokenLifetime is the time after which an unused token is void. An allocator counts on it: a
+	// token that is used later would add to those of that time.
+	tokenLifetime = 500 * time.Millisecond
+	// admittedLifetime is the time within which a request that has taken its token must be sent. It
+	// covers the wait for a connection.
+	admittedLifetime = time.Second
+)
+
+// Tokens holds the tokens that allocators granted to this entry. Create it with NewTokens.
+type Tokens struct {
+	held map[string][]token
+	// admitted holds the expiry times of the tokens that were taken by requests not yet sent.
+	admitted map[string][]time.Duration
+	denials  map[denialKey]denial
+}
+
+type token struct {
+	from, until time.Duration
+	// priority is the least urgent priority that may use the token.
+	priority int
+}
+
+type denialKey struct{ target, allocator string }
+
+type denial struct {
+	until, retryAt time.Duration
+	// priority is the most urgent priority that was denied.
+	priority int
+}
+
+// NewTokens returns an empty set.
+func NewTokens() *Tokens {
+	return &Tokens{held: make(map[string][]token), admitted: make(map[string][]time.Duration), denials: make(map[denialKey]denial)}
+}
+
+// RecordGrant records the answer of an allocator to a request for tokens of a priority.
+func (t *Tokens) RecordGrant(target, allocator string, priority int, now time.Duration, g Grant) {
+	key := denialKey{target, allocator}
+	if g.Count <= 0 {
+		if before, ok := t.denials[key]; !ok || now >= before.until || priority <= before.priority {
+			t.denials[key] = denial{until: now + g.Wait, retryAt: now + g.RetryAfter, priority: priority}
+		}
+		return
+	}
+	delete(t.denials, key)
+	for i := range min(g.Count, MaxTokens) {
+		from := now + g.First + time.Duration(i)*g.Interval
+		t.held[target] = append(t.held[target], token{from: from, until: from + tokenLifetime, priority: priority})
+	}
+}
+
+// find returns the index of a valid token that a request of a priority may use, or -1.
+func (t *Tokens) find(target string, priority int, now time.Duration) int {
+	return slices.IndexFunc(t.held[target], func(k token) bool {
+		return k.from <= now && now < k.until && priority <= k.priority
+	})
+}
+
+// Has reports whether a request of a priority may take a token now.
+func (t *Tokens) Has(target string, priority int, now time.Duration) bool {
+	return t.find(target, priority, now) >= 0
+}
+
+// Take takes a token for a request of a priority. The request must call Admit when it is sent.
+func (t *Tokens) Take(target string, priority int, now time.Duration) bool {
+	i := t.find(target, priority, now)
+	if i < 0 {
+		return false
+	}
+	t.held[target] = slices.Delete(t.held[target], i, i+1)
+	t.admitted[target] = append(t.admitted[target], now+admittedLifetime)
+	return true
+}
+
+// Admit reports whether a request may be sent now, because a token was taken for it. A request that
+// was chosen before the limit was known has none.
+func (t *Tokens) Admit(target string, now time.Duration) bool {
+	admitted := slices.DeleteFunc(t.admitted[target], func(until time.Duration) bool { return now >= until })
+	ok := len(admitted) > 0
+	if ok {
+		admitted = admitted[1:]
+	}
+	t.admitted[target] = admitted
+	return ok
+}
+
+// MayAsk reports whether it makes sense to ask an allocator for tokens of a priority.
+func (t *Tokens) MayAsk(target, allocator string, priority int, now time.Duration) bool {
+	d, denied := t.denials[denialKey{target, allocator}]
+	return !denied || now >= d.until || priority < d.priority
+}
+
+// Availability returns the time until a request of a priority is likely to get a token, zero if that
+// is not known.
+func (t *Tokens) Availability(target string, allocators []Entry, priority int, now time.Duration) time.Duration {
+	earliest := time.Duration(0)
+	note := func(at time.Duration) {
+		if wait := at - now; wait > 0 && (earliest == 0 || wait < earliest) {
+			earliest = wait
+		}
+	}
+	for _, k := range t.held[target] {
+		if priority <= k.priority {
+			note(k.from)
+		}
+	}
+	for _, a := range allocators {
+		if d, denied := t.denials[denialKey{target, a.ID}]; denied && priority >= d.priority {
+			note(d.retryAt)
+		}
+	}
+	return earliest
+}
+
+// Drop removes all tokens. It is called when the process was paused, because the allocators granted
+// others since.
+func (t *Tokens) Drop() {
+	clear(t.held)
+	clear(t.admitted)
+	clear(t.denials)
+}
+
+// Expire removes the tokens and denials that have ended.
+func (t *Tokens) Expire(now time.Duration) {
+	for target, tokens := range t.held {
+		if tokens = slices.DeleteFunc(tokens, func(k token) bool { return now >= k.until }); len(tokens) == 0 {
+			delete(t.held, target)
+		} else {
+			t.held[target] = tokens
+		}
+	}
+	for target, admitted := range t.admitted {
+		if admitted = slices.DeleteFunc(admitted, func(until time.Duration) bool { return now >= until }); len(admitted) == 0 {
+			delete(t.admitted, target)
+		} else {
+			t.admitted[target] = admitted
+		}
+	}
+	for key, d := range t.denials {
+		if now >= max(d.until, d.retryAt) {
+			delete(t.denials, key)
+		}
+	}
+}
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -148,6 +148,7 @@
 	Leaving     []*peerpb.Leaving
 	Successions []*peerpb.Succession
 	Failing     []*peerpb.Failing
+	RateLimits  []*peerpb.RateLimit
 }
 
 // Facts is the part of the engine that provides and receives facts. Its methods are called by many
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -71,6 +71,7 @@
 		Leaving:     sampleFacts(s.rng, facts.Leaving),
 		Successions: sampleFacts(s.rng, facts.Successions),
 		Failing:     sampleFacts(s.rng, facts.Failing),
+		RateLimits:  sampleFacts(s.rng, facts.RateLimits),
 	}
 	for _, key := range s.cfg.Keys {
 		if v := s.store.Version(key); !v.IsZero() {
@@ -123,6 +124,7 @@
 	GetLeaving() []*peerpb.Leaving
 	GetSuccessions() []*peerpb.Succession
 	GetFailing() []*peerpb.Failing
+	GetRateLimits() []*peerpb.RateLimit
 }
 
 // handleMessage processes a message from a peer. address is the address at which the peer was
@@ -152,7 +154,7 @@
 	}
 	if s.deps.Facts != nil {
 		facts := FactSet{Quarantines: m.GetQuarantines(), Crashes: m.GetCrashes(), Leaving: m.GetLeaving(),
-			Successions: m.GetSuccessions(), Failing: m.GetFailing()}
+			Successions: m.GetSuccessions(), Failing: m.GetFailing(), RateLimits: m.GetRateLimits()}
 		s.deps.Facts.Receive(sender.ID, facts)
 	}
 }
@@ -214,7 +216,7 @@
 	m := s.message(!push, bootstrap)
 	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
 		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
-		Successions: m.Successions, Failing: m.Failing, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Capacity: m.Capacity, Address: m.Address, Members: m.Members}, nil
+		Successions: m.Successions, Failing: m.Failing, RateLimits: m.RateLimits, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Capacity: m.Capacity, Address: m.Address, Members: m.Members}, nil
 }
 
 // exchange sends this entry's state to a peer and processes the state that the peer returns. It
--- a/internal/ctl/attempts.go
+++ b/internal/ctl/attempts.go
@@ -45,11 +45,12 @@
 
 // causeTexts describes, by cause, why an attempt was or was not made.
 var causeTexts = map[string]string{
-	"hedge":      "hedge to another target",
-	"retry":      "retry",
-	"no_replica": "the shard has no usable target",
-	"no_budget":  "the fleet's budget of repeats for this group is exhausted",
-	"over_limit": "not sent: the shard is overloaded or unresponsive",
+	"hedge":        "hedge to another target",
+	"retry":        "retry",
+	"no_replica":   "the shard has no usable target",
+	"no_budget":    "the fleet's budget of repeats for this group is exhausted",
+	"over_limit":   "not sent: the shard is overloaded or unresponsive",
+	"rate_limited": "not sent: the targets are at the rate limits that they announced",
 }
 
 // String describes the attempt in one sentence.
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -40,8 +40,14 @@
 	if q.launch(i, causeFirst) {
 		return
 	}
-	q.trace.recordStart(s.shard, "", causeNoReplica)
-	q.giveUp(i, callerapi.ReasonNoReplica)
+	if wait, limited := q.engine.rateLimitWait(q.req, q.engine.candidates(q.req, q.snapshot.Shards[s.shard], s.shard)); limited {
+		q.rateLimitWait = max(q.rateLimitWait, wait)
+		q.trace.recordStart(s.shard, "", causeRateLimited)
+		q.giveUp(i, callerapi.ReasonShed)
+	} else {
+		q.trace.recordStart(s.shard, "", causeNoReplica)
+		q.giveUp(i, callerapi.ReasonNoReplica)
+	}
 	switch i {
 	case q.isolatedSub:
 		q.endIsolatedRun(false)
@@ -59,10 +65,23 @@
 // start together every target is slow, and new connections to other targets make it worse.
 const startupPeriod = 6 * time.Second
 
-// chooseTarget selects a target of a shard: one to which this entry keeps connections, or another
-// one of the group when those were tried already, are slow or failed recently. It returns false when
-// no target may be used.
+// chooseTarget selects a target of a shard, and takes a token for the attempt if the target has a rate
+// limit. It returns false when no target may be used.
 func (e *Engine) chooseTarget(req *Request, targets []string, shard int, exclude []string) (string, bool) {
+	for {
+		target, ok := e.pickTarget(req, targets, shard, exclude)
+		if !ok || e.rateLimits.Take(target, req.Priority) {
+			return target, ok
+		}
+		// Another request has taken the token in between.
+		exclude = append(slices.Clone(exclude), target)
+	}
+}
+
+// pickTarget selects a target of a shard: one to which this entry keeps connections, or another one
+// of the group when those were tried already, are slow or failed recently. It returns false when no
+// target may be used.
+func (e *Engine) pickTarget(req *Request, targets []string, shard int, exclude []string) (string, bool) {
 	if req.GroupTargets == nil {
 		target, _, ok := e.policy.pick(req, shard, targets, exclude, 0)
 		return target, ok
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,6 +18,7 @@
 	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/audit"
 )
@@ -63,6 +64,9 @@
 	// Verify checks documents and leaving targets with peers after the process was paused. It may
 	// be nil.
 	Verify func()
+	// Tokens asks another entry for tokens of targets with a rate limit. It may be nil if there are no
+	// other entries.
+	Tokens func(ctx context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error)
 	// Audit may be nil.
 	Audit *audit.Trail
 }
@@ -105,10 +109,13 @@
 	if cfg.Audit == nil {
 		cfg.Audit = audit.New(zerolog.Nop())
 	}
-	var p policy = &baselinePolicy{self: cfg.Self, notices: notices}
+	targetEventLog := newTargetEventLog(cfg.Log)
+	rateLimits := targetrate.New(targetrate.Config{Entry: cfg.Self.Entry, Clock: cfg.Self.Clock, Log: targetEventLog,
+		Metrics: &cfg.Metrics.RateLimits, NotifyPeers: cfg.NotifyPeers, Tokens: cfg.Tokens})
+	var p policy = &baselinePolicy{self: cfg.Self, notices: notices, rateLimits: rateLimits}
 	var guard *crashGuard
 	if cfg.PolicyOn {
-		p = newLoadPolicy(cfg.Self, notices, failing, zones)
+		p = newLoadPolicy(cfg.Self, notices, rateLimits, failing, zones)
 		guard = newCrashGuard(cfg.Self, cfg.FingerprintKey)
 	}
 	e := &Engine{
@@ -119,6 +126,7 @@
 		guard:       guard,
 		isolated:    newIsolatedRuns(cfg.Self.Entry),
 		notices:     notices,
+		rateLimits:  rateLimits,
 		failing:     failing,
 		zones:       zones,
 		metrics:     cfg.Metrics,
@@ -126,8 +134,7 @@
 		verify:      cfg.Verify,
 		audit:       cfg.Audit,
 	}
-	e.requestLog, e.targetEventLog = newRequestLog(cfg.Log, cmp.Or(cfg.RequestLinesPerSecond, DefaultRequestLinesPerSecond)), newTargetEventLog(cfg.Log)
-	e.rateLimits = targetrate.New(targetrate.Config{Clock: cfg.Self.Clock, Log: e.targetEventLog, Metrics: &cfg.Metrics.RateLimits, NotifyPeers: cfg.NotifyPeers})
+	e.requestLog, e.targetEventLog = newRequestLog(cfg.Log, cmp.Or(cfg.RequestLinesPerSecond, DefaultRequestLinesPerSecond)), targetEventLog
 	e.pause = newPauseGuard(cfg.Self, e.afterPause)
 	return e
 }
@@ -135,7 +142,11 @@
 // SetCatalogue replaces the known services, targets and target groups.
 func (e *Engine) SetCatalogue(c *Catalogue) {
 	e.notices.setListed(c.Targets, e.self.Clock())
-	e.rateLimits.SetTargets(startTimes(c.Targets))
+	zones := make(map[string]string, len(c.Targets))
+	for i := range c.Targets {
+		zones[c.Targets[i].ID] = c.Targets[i].Zone
+	}
+	e.rateLimits.SetTargets(startTimes(c.Targets), zones)
 	e.policy.setCatalogue(c)
 	e.isolated.setTargets(c.Targets)
 }
@@ -146,6 +157,8 @@
 	e.metrics.Pauses.Add(1)
 	e.log.Warn().Dur("monotonic_gap", gap.Monotonic).Dur("wall_gap", gap.Wall).Msg("the process was paused; checking cached state")
 	e.targets.DropIdle()
+	// While the host was suspended, its monotonic clock stood still.
+	e.rateLimits.RecordPause(gap.Wall - gap.Monotonic)
 	e.verify()
 }
 
--- a/internal/engine/groups.go
+++ b/internal/engine/groups.go
@@ -67,7 +67,7 @@
 	return g.limiter.CanStart()
 }
 
-func (l *loadPolicy) anyAvailable(targets []string) (wait time.Duration, ok bool) {
+func (l *loadPolicy) anyAvailable(req *Request, targets []string) (wait time.Duration, ok bool) {
 	now := l.now()
 	for _, id := range targets {
 		record := l.targets.Get(id)
@@ -80,9 +80,11 @@
 			zone := state.zone
 			until = state.downUntil
 			record.Unlock()
-			if now >= until && !l.zones.unreachable(zone) {
+			left, limited := l.rateLimits.Availability(id, req.Priority)
+			if now >= until && !l.zones.unreachable(zone) && !limited {
 				return 0, true
 			}
+			until = max(until, now+left)
 		}
 		if left := until - now; left > 0 && (wait == 0 || left < wait) {
 			wait = left
--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -149,14 +149,18 @@
 		Int64("hold_off_ms", (until - now).Milliseconds()).Msg("target asked for a hold-off; it gets no new work until it ends")
 }
 
-// MaySend returns an error with the outcome NotRun if the target must get no new work. It is called
+// MaySend returns an error with the outcome NotRun if the target must get no new work, or if its rate
+// limit allows no more. It is called
 // when an attempt has obtained its connection, because the target may have stopped accepting work
 // while the attempt waited.
 func (e *Engine) MaySend(target string) error {
-	if !e.notices.blocked(target, e.self.Clock()) {
-		return nil
+	if e.notices.blocked(target, e.self.Clock()) {
+		return status.New(status.NoReplica, status.NotRun, "target %s gets no new work", target)
+	}
+	if !e.rateLimits.Admit(target) {
+		return status.New(status.NoReplica, status.NotRun, "target %s announced a rate limit since it was chosen", target)
 	}
-	return status.New(status.NoReplica, status.NotRun, "target %s gets no new work", target)
+	return nil
 }
 
 // LeavingTargets returns the targets that get no new work because they are leaving.
--- a/internal/engine/loadpolicy.go
+++ b/internal/engine/loadpolicy.go
@@ -13,6 +13,7 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
@@ -34,15 +35,16 @@
 
 // loadPolicy is the policy with all load policies on.
 type loadPolicy struct {
-	self     Identity
-	notices  *notices
-	failing  *failingSet
-	zones    *zoneSet
-	settings *replica.Settings
-	ramp     rampup.Settings
-	targets  targets.Table[targetState]
-	services atomic.Pointer[map[string]*serviceState]
-	groups   atomic.Pointer[map[string]*groupState]
+	self       Identity
+	notices    *notices
+	rateLimits *targetrate.Limiter
+	failing    *failingSet
+	zones      *zoneSet
+	settings   *replica.Settings
+	ramp       rampup.Settings
+	targets    targets.Table[targetState]
+	services   atomic.Pointer[map[string]*serviceState]
+	groups     atomic.Pointer[map[string]*groupState]
 
 	admitMu sync.Mutex
 	// admission is guarded by admitMu.
@@ -78,15 +80,16 @@
 	admission *admission.Service
 }
 
-func newLoadPolicy(self Identity, notices *notices, failing *failingSet, zones *zoneSet) *loadPolicy {
+func newLoadPolicy(self Identity, notices *notices, rateLimits *targetrate.Limiter, failing *failingSet, zones *zoneSet) *loadPolicy {
 	return &loadPolicy{
-		self:      self,
-		notices:   notices,
-		failing:   failing,
-		zones:     zones,
-		settings:  replica.DefaultSettings(),
-		ramp:      rampup.DefaultSettings(),
-		admission: admission.New(admissionSettings()),
+		self:       self,
+		notices:    notices,
+		rateLimits: rateLimits,
+		failing:    failing,
+		zones:      zones,
+		settings:   replica.DefaultSettings(),
+		ramp:       rampup.DefaultSettings(),
+		admission:  admission.New(admissionSettings()),
 	}
 }
 
@@ -187,7 +190,7 @@
 		record := l.targets.Get(id)
 		candidate := replica.Candidate{
 			Target:   i,
-			Excluded: record == nil || slices.Contains(exclude, id) || l.notices.blocked(id, now),
+			Excluded: record == nil || slices.Contains(exclude, id) || l.notices.blocked(id, now) || !l.rateLimits.MayTake(id, req.Priority),
 		}
 		if record != nil {
 			records[i] = record
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -42,6 +42,7 @@
 	}
 	answered := false
 	defer func() { guard.end(answered) }()
+	e.prepareRateLimits(ctx, req, chosen.Shards[shard:shard+1], shard)
 	e.policy.recordPrimaries(req, 1)
 	tried, reached := guard.avoid, false
 	var lastErr error = status.New(status.NoReplica, status.NotRun, "shard %d has no usable target", shard)
@@ -84,7 +85,7 @@
 	if se.RetryAfter == 0 {
 		se.RetryAfter = DefaultRetryAfter
 	}
-	if wait, available := e.policy.anyAvailable(e.candidates(req, chosen.Shards[shard], shard)); !available {
+	if wait, available := e.policy.anyAvailable(req, e.candidates(req, chosen.Shards[shard], shard)); !available {
 		se.RetryAfter = max(se.RetryAfter, wait)
 	}
 	return nil, &se
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -9,6 +9,7 @@
 	"github.com/balsamstall/balsamstall/coordination/admission"
 	"github.com/balsamstall/balsamstall/coordination/hedge"
 	"github.com/balsamstall/balsamstall/coordination/replica"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
@@ -29,9 +30,9 @@
 	// hasCapacity reports whether the shard can take another sub-request.
 	hasCapacity(req *Request, shard int) bool
 	// anyAvailable reports whether any of the targets may answer: it accepts new work, has not just
-	// refused a connection, and its zone is reachable. Otherwise it returns the time until one may get
-	// work again, zero if unknown.
-	anyAvailable(targets []string) (wait time.Duration, ok bool)
+	// refused a connection, its zone is reachable and its rate limit allows the request. Otherwise it
+	// returns the time until one may get work again, zero if unknown.
+	anyAvailable(req *Request, targets []string) (wait time.Duration, ok bool)
 	// finish records the end of an attempt. connRefused tells whether the target refused the
 	// connection.
 	finish(token attemptToken, class replica.Class, connRefused bool)
@@ -98,19 +99,20 @@
 // baselinePolicy is the policy with all load policies off: random replicas, no hedging, no
 // admission control, unlimited retries.
 type baselinePolicy struct {
-	self    Identity
-	notices *notices
+	self       Identity
+	notices    *notices
+	rateLimits *targetrate.Limiter
 }
 
 func (*baselinePolicy) admit(context.Context, *Request) (func(admission.Result), error) {
 	return func(admission.Result) {}, nil
 }
 
-func (b *baselinePolicy) pick(_ *Request, _ int, targets, exclude []string, _ time.Duration) (string, bool, bool) {
+func (b *baselinePolicy) pick(req *Request, _ int, targets, exclude []string, _ time.Duration) (string, bool, bool) {
 	now := b.self.Clock()
 	allowed := make([]string, 0, len(targets))
 	for _, t := range targets {
-		if !slices.Contains(exclude, t) && !b.notices.blocked(t, now) {
+		if !slices.Contains(exclude, t) && !b.notices.blocked(t, now) && b.rateLimits.MayTake(t, req.Priority) {
 			allowed = append(allowed, t)
 		}
 	}
@@ -121,7 +123,7 @@
 }
 
 func (*baselinePolicy) hasCapacity(*Request, int) bool { return true }
-func (*baselinePolicy) anyAvailable(targets []string) (time.Duration, bool) {
+func (*baselinePolicy) anyAvailable(_ *Request, targets []string) (time.Duration, bool) {
 	return 0, len(targets) > 0
 }
 func (*baselinePolicy) start(*Request, int, string) attemptToken  { return attemptToken{} }
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -64,6 +64,11 @@
 	// attemptsOutcome is the combined outcome of all attempts that ended.
 	attemptsOutcome status.Outcome
 	lastError       error
+	// rateLimited is set if rate limits of targets left too few shards.
+	rateLimited bool
+	// rateLimitWait is the longest time until the rate limits of a shard's targets may allow the
+	// request, zero if none kept it from being sent.
+	rateLimitWait time.Duration
 	// aborted is the error that ends the query early, nil if there is none.
 	aborted error
 
@@ -167,6 +172,7 @@
 	if n, limit := len(chosen.Shards), q.req.Contract.MaxFanout; limit > 0 && n > limit {
 		return status.New(status.TooLarge, status.NotRun, "the snapshot has %d shards and the sheet allows %d", n, limit)
 	}
+	e.prepareRateLimits(ctx, q.req, chosen.Shards, 0)
 	if err := q.awaitServable(ctx, chosen); err != nil {
 		return err
 	}
@@ -227,16 +233,19 @@
 		return nil
 	}
 	n := len(chosen.Shards)
-	available := 0
+	available, rateLimited := 0, 0
 	var waits []time.Duration // Until each unavailable shard may accept work, zero if unknown.
 	for i, targets := range chosen.Shards {
 		if q.req.GroupTargets != nil {
 			targets = q.req.GroupTargets[i]
 		}
-		wait, ok := q.engine.policy.anyAvailable(targets)
+		wait, ok := q.engine.policy.anyAvailable(q.req, targets)
 		switch {
 		case !ok:
 			waits = append(waits, wait)
+			if _, limited := q.engine.rateLimitWait(q.req, targets); limited {
+				rateLimited++
+			}
 		case q.engine.policy.hasCapacity(q.req, i):
 			available++
 		}
@@ -245,6 +254,10 @@
 		return nil
 	}
 	retryAfter := randomRetryAfter(globalRand{}, q.req.Contract.Cutoff.Goal) + reopenDelay(waits, n, q.req.Contract.Cutoff)
+	if rateLimited > 0 {
+		q.rateLimited = true
+		return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request, %d are at the rate limits of their targets", available, n, rateLimited).WithRetryAfter(retryAfter)
+	}
 	return status.New(status.Overloaded, status.NotRun, "%d of %d shards take the request", available, n).WithRetryAfter(retryAfter)
 }
 
@@ -261,10 +274,10 @@
 
 // awaitServable is checkServable for a request that may wait. A caller whose latency goal has
 // passed loses nothing by waiting, while a caller that just arrived would, so late callers only get
-// spare capacity.
+// spare capacity. A rate limit leaves none.
 func (q *query) awaitServable(ctx context.Context, chosen *index.Snapshot) error {
 	err := q.checkServable(chosen)
-	if err == nil || !q.req.late() {
+	if err == nil || !q.req.late() || q.rateLimited {
 		return err
 	}
 	waiting := &q.engine.lateWaiting
@@ -416,7 +429,7 @@
 	} else if q.lastError != nil {
 		code = status.CodeOf(q.lastError)
 	}
-	return status.Wrap(q.lastError, code, outcome, "%d of %d shards could be searched", q.accepted, len(q.subs)).WithRetryAfter(randomRetryAfter(globalRand{}, q.req.Contract.Cutoff.Goal))
+	return status.Wrap(q.lastError, code, outcome, "%d of %d shards could be searched", q.accepted, len(q.subs)).WithRetryAfter(max(randomRetryAfter(globalRand{}, q.req.Contract.Cutoff.Goal), q.rateLimitWait))
 }
 
 // reasonOf returns the reason reported for a shard whose attempt failed with code.
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -17,6 +17,8 @@
 	ID string
 	// Service selects the statistics, budgets and admission state.
 	Service string
+	// Priority ranks the request among those that need the same targets, 1 being the most urgent.
+	Priority int
 	// SheetRevision and TargetsRevision are the revisions of the documents that the request uses,
 	// for logs.
 	SheetRevision, TargetsRevision uint64
--- a/internal/engine/trace.go
+++ b/internal/engine/trace.go
@@ -89,6 +89,8 @@
 	causeNoReplica = "no_replica"
 	causeNoBudget  = "no_budget"
 	causeOverLimit = "over_limit"
+	// causeRateLimited means that the targets are at the rate limits that they announced.
+	causeRateLimited = "rate_limited"
 )
 
 // newRequestLog returns the rate-limited logger of requests.
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/go-kratos/kratos/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/settings"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -77,6 +78,7 @@
 		NotifyPeers: func() { d.syncer.NotifyPeers() },
 		Verify:      func() { d.syncer.Refresh(context.Background()) },
 		Audit:       d.audit,
+		Tokens:      d.pool.Tokens,
 	})
 	d.facts = newFactExchange(d.self, d.engine.core)
 	d.wireSync()
@@ -95,7 +97,7 @@
 	})
 	admin := adminhttp.NewServer(listeners[1], d, d.settings.AdminKey)
 	peers := &peerServer{
-		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &peerHandler{engine: d.engine, syncer: d.syncer}, d.log),
+		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &peerHandler{engine: d.engine, syncer: d.syncer, rateLimits: d.engine.core.RateLimits()}, d.log),
 		listener: listeners[2],
 	}
 	d.app = kratos.New(
@@ -189,6 +191,7 @@
 			d.engine.core.ExpireNotices()
 			d.engine.SetEntries(d.entryCount())
 			d.engine.core.SetPeers(peerNames(d.syncer))
+			d.engine.core.RateLimits().SetFleet(allocatorFleet(ratelimit.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Address: d.settings.PeerAddress}, d.syncer))
 			if d.settings.PolicyMode == settings.PolicyOn {
 				d.targets.OpenSpares()
 			}
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -93,6 +93,9 @@
 	Verify func()
 	// Audit may be nil.
 	Audit *audit.Trail
+	// Tokens asks another entry for tokens of targets with a rate limit. It may be nil if there are no
+	// other entries.
+	Tokens func(ctx context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error)
 }
 
 // New returns an engine that refuses requests until SetDocuments is called.
@@ -114,6 +117,7 @@
 			Metrics:        &cfg.Metrics.Metrics,
 			NotifyPeers:    cfg.NotifyPeers,
 			Verify:         cfg.Verify,
+			Tokens:         cfg.Tokens,
 			Audit:          cfg.Audit,
 		}),
 		signer:           permit.NewSigner(cfg.PermitKey),
--- a/internal/entry/facts.go
+++ b/internal/entry/facts.go
@@ -13,6 +13,7 @@
 	"github.com/balsamstall/balsamstall/coordination/quarantine"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/engine"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 )
@@ -69,6 +70,9 @@
 	for _, t := range f.core.FailingTargets() {
 		set.Failing = append(set.Failing, &peerpb.Failing{Target: t.Target, AgeMs: t.Age.Milliseconds()})
 	}
+	for _, a := range f.core.RateLimits().Reports() {
+		set.RateLimits = append(set.RateLimits, targetrate.EncodeAnnouncement(a))
+	}
 	return set
 }
 
@@ -113,6 +117,9 @@
 		f.core.MergeLeavingReport(entry, notice.Report{Target: notice.Target{ID: l.Target, Started: l.StartedMs}, Stated: l.Stated,
 			Remaining: time.Duration(l.RemainingMs)*time.Millisecond - leavingTransitAllowance})
 	}
+	for _, m := range set.RateLimits {
+		f.core.RateLimits().Merge(entry, targetrate.DecodeAnnouncement(m))
+	}
 	for _, s := range set.Successions {
 		if len(s.Incarnation) == ids.IncarnationSize && len(s.SuccessorIncarnation) == ids.IncarnationSize {
 			f.addSuccession(ids.Incarnation(s.Incarnation), s.Successor, ids.Incarnation(s.SuccessorIncarnation))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/balsamstall/balsamstall/internal/configsync"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -51,6 +52,8 @@
 	peerpb.DRPCPeerUnimplementedServer
 	engine *Engine
 	syncer *configsync.Syncer
+	// rateLimits allocates the rate limits of targets.
+	rateLimits *targetrate.Limiter
 }
 
 func (h *peerHandler) Forward(ctx context.Context, in *peerpb.ForwardRequest) (*peerpb.ForwardReply, error) {
@@ -61,6 +64,10 @@
 	return h.syncer.HandleExchange(ctx, in)
 }
 
+func (h *peerHandler) Tokens(_ context.Context, in *peerpb.TokensRequest) (*peerpb.TokensReply, error) {
+	return h.rateLimits.HandleRequest(in), nil
+}
+
 func (h *peerHandler) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
 	return h.syncer.HandleFetch(ctx, in)
 }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -12,11 +12,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/coordination/homes"
+	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/internal/relay"
 	"github.com/balsamstall/balsamstall/internal/settings"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
@@ -125,6 +127,7 @@
 		RequestLinesPerSecond: uint32(set.RequestLinesPerSecond),
 		NotifyPeers:           func() { d.syncer.NotifyPeers() },
 		Verify:                func() { d.syncer.Refresh(context.Background()) },
+		Tokens:                d.pool.Tokens,
 		Audit:                 d.audit,
 	})
 	d.relay = relay.New(relay.Config{
@@ -218,7 +221,7 @@
 	}
 	servers := deps.NewServers(listeners[0], listeners[1], d.relay)
 	servers = append(servers, &peerServer{
-		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &relayPeerHandler{syncer: d.syncer, relay: d.relay}, d.log),
+		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &relayPeerHandler{syncer: d.syncer, relay: d.relay, rateLimits: d.core.RateLimits()}, d.log),
 		listener: listeners[2],
 	})
 	if len(listeners) > 3 {
@@ -274,6 +277,7 @@
 		case <-readiness.C:
 			fleet := d.fleet()
 			d.relay.SetFleet(fleet)
+			d.core.RateLimits().SetFleet(d.allocatorFleet(fleet.Entries))
 			d.syncer.SetPinned(sameZoneHomes(&fleet))
 			d.syncer.SetPartitioned(d.relay.UpdateReadiness(d.otherZoneLastHeard(), d.syncer.ZonePartitionedAt()))
 			if d.self.Clock() < startupPeriod {
@@ -316,6 +320,17 @@
 	return fleet
 }
 
+// allocatorFleet describes the entries that may allocate the rate limits of targets. entries is the
+// number of entries of the fleet.
+func (d *RelayDaemon) allocatorFleet(entries int) targetrate.Fleet {
+	self := ratelimit.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Address: d.settings.PeerAddress}
+	fleet := allocatorFleet(self, d.syncer)
+	if len(fleet.Entries) <= 1 && entries > len(fleet.Entries) {
+		fleet.AssumedEntries = entries
+	}
+	return fleet
+}
+
 // cpuCapacity returns the CPU capacity of this host in thousandths of a core.
 func cpuCapacity(set *settings.Relay) uint32 { return uint32(set.Cores * 1_000) }
 
--- a/internal/entry/relaypeers.go
+++ b/internal/entry/relaypeers.go
@@ -6,6 +6,7 @@
 
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/relay"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -19,12 +20,18 @@
 	peerpb.DRPCPeerUnimplementedServer
 	syncer *configsync.Syncer
 	relay  *relay.Relay
+	// rateLimits allocates the rate limits of targets.
+	rateLimits *targetrate.Limiter
 }
 
 func (h *relayPeerHandler) Exchange(ctx context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	return h.syncer.HandleExchange(ctx, in)
 }
 
+func (h *relayPeerHandler) Tokens(_ context.Context, in *peerpb.TokensRequest) (*peerpb.TokensReply, error) {
+	return h.rateLimits.HandleRequest(in), nil
+}
+
 func (h *relayPeerHandler) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
 	return h.syncer.HandleFetch(ctx, in)
 }
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -36,8 +36,9 @@
 func (e *Engine) engineRequest(req *request, w *searchWork) *engine.Request {
 	svc := req.service
 	return &engine.Request{
-		ID:      req.id.String(),
-		Service: svc.Name,
+		ID:       req.id.String(),
+		Service:  svc.Name,
+		Priority: svc.Priority,
 		Contract: engine.Contract{
 			Latency:    time.Duration(svc.Latency.ContractMS) * time.Millisecond,
 			MaxFanout:  svc.Limits.MaxFanout,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -325,8 +325,9 @@
 	goal := time.Duration(svc.Latency.ContractMS) * time.Millisecond
 	cutoff := cutoffGoal(goal, req.Waited)
 	return &engine.Request{
-		ID:      req.ID,
-		Service: svc.Name,
+		ID:       req.ID,
+		Service:  svc.Name,
+		Priority: svc.Priority,
 		Contract: engine.Contract{
 			Latency: goal,
 			Cutoff: coverage.Cutoff{
--- a/internal/targetrate/targetrate.go
+++ b/internal/targetrate/targetrate.go
@@ -3,7 +3,9 @@
 package targetrate
 
 import (
+	"context"
 	"expvar"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/requestrate"
 )
 
@@ -22,10 +25,17 @@
 	Invalid expvar.Int
 	// Attempts counts attempts to targets with a limit by cause.
 	Attempts expvar.Map
+	// TokensGranted counts the tokens that this entry granted as an allocator, TokensDenied the
+	// requests that it denied.
+	TokensGranted, TokensDenied expvar.Int
+	// AllocatorFailures counts requests for tokens that an allocator did not answer.
+	AllocatorFailures expvar.Int
 }
 
 // Config holds the dependencies of a Limiter.
 type Config struct {
+	// Entry is the id of this entry.
+	Entry string
 	// Clock returns the monotonic time since the start of the process.
 	Clock func() time.Duration
 	// Log receives a limited number of lines about targets.
@@ -33,6 +43,8 @@
 	Metrics *Metrics
 	// NotifyPeers sends new announcements to peers immediately. It must not block.
 	NotifyPeers func()
+	// Tokens asks the entry at address for tokens.
+	Tokens func(ctx context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error)
 }
 
 // Limiter tracks the rate limits of targets. All methods are safe for concurrent use.
@@ -45,6 +57,21 @@
 	mu sync.Mutex
 	// announcements is guarded by mu.
 	announcements *ratelimit.Announcements
+	// tokens holds the tokens of this entry, and allocations what it allocates of the limits of
+	// targets. Guarded by mu.
+	tokens      *ratelimit.Tokens
+	allocations map[string]*ratelimit.Allocation
+	// zones holds the zone of each target. Guarded by mu.
+	zones map[string]string
+	// fleet is guarded by mu, chosen caches the allocators that follow from it by target.
+	fleet  Fleet
+	chosen map[string][]ratelimit.Entry
+	// unreachable holds the times until which allocators are not asked. Guarded by mu.
+	unreachable map[string]time.Duration
+	// lastNeed holds the time of the last request that needed a token of a target. Guarded by mu.
+	lastNeed map[string]time.Duration
+	// asking holds the targets for which a request for tokens runs in the background. Guarded by mu.
+	asking map[string]bool
 	// attempts counts the attempts since the last call of LogAttempts, by target and cause. Guarded by
 	// mu.
 	attempts map[string]map[string]int
@@ -52,9 +79,23 @@
 
 // New returns a limiter that knows no limits.
 func New(cfg Config) *Limiter {
-	return &Limiter{cfg: cfg, announcements: ratelimit.NewAnnouncements(), attempts: make(map[string]map[string]int)}
+	return &Limiter{
+		cfg:           cfg,
+		announcements: ratelimit.NewAnnouncements(),
+		tokens:        ratelimit.NewTokens(),
+		allocations:   make(map[string]*ratelimit.Allocation),
+		fleet:         Fleet{Entries: []ratelimit.Entry{{ID: cfg.Entry}}},
+		chosen:        make(map[string][]ratelimit.Entry),
+		unreachable:   make(map[string]time.Duration),
+		lastNeed:      make(map[string]time.Duration),
+		asking:        make(map[string]bool),
+		attempts:      make(map[string]map[string]int),
+	}
 }
 
+// Active reports whether any target has a limit.
+func (l *Limiter) Active() bool { return l.limited.Load() > 0 }
+
 // RecordReply records what a reply to a request sent at the given time states about the limit of its
 // target. complete is set if a reply without a statement proves that the target has no limit.
 func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, complete bool) {
@@ -118,10 +159,12 @@
 	return l.announcements.Reports(l.cfg.Clock())
 }
 
-// SetTargets replaces the listed targets, with their start times in Unix milliseconds.
-func (l *Limiter) SetTargets(started map[string]int64) {
+// SetTargets replaces the listed targets, with their start times in Unix milliseconds and their zones.
+func (l *Limiter) SetTargets(started map[string]int64, zones map[string]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.zones = zones
+	clear(l.chosen)
 	l.announcements.SetListed(started)
 	l.limited.Store(int64(l.announcements.Limited()))
 }
@@ -143,6 +186,18 @@
 	l.attempts[target][cause]++
 }
 
+// expire removes state that has ended. The caller must hold mu.
+func (l *Limiter) expire(now time.Duration) {
+	l.announcements.Expire(now)
+	l.tokens.Expire(now)
+	maps.DeleteFunc(l.allocations, func(target string, _ *ratelimit.Allocation) bool {
+		_, limited := l.announcements.Limit(target)
+		return !limited
+	})
+	maps.DeleteFunc(l.lastNeed, func(_ string, at time.Duration) bool { return now-at > denseInterval })
+	maps.DeleteFunc(l.unreachable, func(_ string, until time.Duration) bool { return now >= until })
+}
+
 // Maintain removes expired state and logs, for each target with a limit, the attempts since the last
 // call by cause. It is called periodically.
 func (l *Limiter) Maintain() {
@@ -150,7 +205,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.announcements.Expire(l.cfg.Clock())
+	l.expire(l.cfg.Clock())
 	l.limited.Store(int64(l.announcements.Limited()))
 	attempts := l.attempts
 	l.attempts = make(map[string]map[string]int)
--- a/transport/peerrpc/pool.go
+++ b/transport/peerrpc/pool.go
@@ -125,6 +125,11 @@
 	return call(ctx, p, address, in, peerpb.DRPCPeerClient.Fetch)
 }
 
+// Tokens asks the entry at address for tokens of targets with a rate limit.
+func (p *Pool) Tokens(ctx context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error) {
+	return call(ctx, p, address, in, peerpb.DRPCPeerClient.Tokens)
+}
+
 // Handover hands a part of the journal over to the entry at address.
 func (p *Pool) Handover(ctx context.Context, address string, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
 	return call(ctx, p, address, in, peerpb.DRPCPeerClient.Handover)
