Use the tokens of limited targets in large groups

Cause: the choice of a target looks at 16 targets of a group from a random one on, and counted those that may get no work among them; and a request of a single-shard service asked for tokens only in the background while one target without a limit was left, which then got the load of all. Change: the choice looks at the first 16 targets that may get work; a request that needs only one shard asks for a token before it chooses its target.

--- a/internal/engine/loadpolicy.go
+++ b/internal/engine/loadpolicy.go
@@ -179,35 +179,33 @@
 	canAffordRefusal := l.repeatsLeft(req, shard) >= refusalRepeatReserve
 	var buffer [maxReplicas]replica.Candidate
 	var records [maxReplicas]*targetRecord
+	var names [maxReplicas]string
 	candidates := buffer[:0]
-	// Of a large group, consider a random range.
+	// Of a large group, consider those that may get work from a random one on.
 	first := 0
 	if len(ids) > maxReplicas {
 		first = rand.IntN(len(ids))
 	}
-	for i := range min(len(ids), maxReplicas) {
+	for i := 0; i < len(ids) && len(candidates) < maxReplicas; i++ {
 		id := ids[(first+i)%len(ids)]
 		record := l.targets.Get(id)
-		candidate := replica.Candidate{
-			Target:   i,
-			Excluded: record == nil || slices.Contains(exclude, id) || l.notices.blocked(id, now) || !l.rateLimits.MayTake(id, req.Priority),
+		if record == nil || slices.Contains(exclude, id) || l.notices.blocked(id, now) || !l.rateLimits.MayTake(id, req.Priority) {
+			continue
 		}
-		if record != nil {
-			records[i] = record
-			state := record.Lock()
-			zone := state.zone
-			candidate.Local = state.local
-			candidate.Weight = l.ramp.Weight(now, state.coldSince)
-			record.Unlock()
-			candidate.Excluded = candidate.Excluded || l.zones.unreachable(zone)
+		state := record.Lock()
+		zone := state.zone
+		candidate := replica.Candidate{Target: len(candidates), Local: state.local, Weight: l.ramp.Weight(now, state.coldSince)}
+		record.Unlock()
+		if !l.zones.unreachable(zone) {
+			records[candidate.Target], names[candidate.Target] = record, id
+			candidates = append(candidates, candidate)
 		}
-		candidates = append(candidates, candidate)
 	}
 	i, ok := replica.Pick(globalRand{}, candidates, func(target int) replica.Score {
 		record := records[target]
 		defer record.Unlock()
 		score := record.Lock().stats.Score(now)
-		if l.failing.has(ids[(first+target)%len(ids)], now) {
+		if l.failing.has(names[target], now) {
 			score.Cost *= failing.CostFactor
 		}
 		if score.Acceptance < lowAcceptance {
@@ -225,8 +223,7 @@
 	stats := records[i].Lock().stats
 	degraded := stats.Score(now).Ejected || slowThreshold > 0 && max(stats.Latency(now), stats.OldestAge(now)) > slowThreshold
 	records[i].Unlock()
-	id := ids[(first+i)%len(ids)]
-	return id, degraded || l.failing.has(id, now), true
+	return names[i], degraded || l.failing.has(names[i], now), true
 }
 
 func (l *loadPolicy) start(req *Request, shard int, target string) attemptToken {
--- a/internal/targetrate/acquire.go
+++ b/internal/targetrate/acquire.go
@@ -39,10 +39,11 @@
 	Shards [][]string
 }
 
-// Prepare gets tokens for the shards of a request that have a target with a rate limit. For a shard
-// all of whose targets have one it waits: for the allocators, and for a token that becomes valid
-// within a part of the latency goal if the request needs only that shard. For the others, it asks in
-// the background.
+// Prepare gets tokens for the shards of a request that have a target with a rate limit. It waits for
+// the allocators if the request needs only one shard, or if all targets of a shard have a limit;
+// otherwise it asks in the background, for a later request. A request that needs only one shard, all
+// of whose targets have a limit, also waits for a token that becomes valid within a part of the latency
+// goal.
 func (l *Limiter) Prepare(ctx context.Context, d Demand) {
 	if !l.Active() {
 		return
@@ -52,16 +53,15 @@
 		a, ok := l.needs(d, targets)
 		switch {
 		case !ok:
-		case a.essential && len(d.Shards) == 1:
+		case len(d.Shards) == 1:
 			l.ask(ctx, a)
-			l.awaitToken(ctx, a)
+			if a.essential {
+				l.awaitToken(ctx, a)
+			}
 		case a.essential:
 			essential.Go(func() { l.ask(ctx, a) })
 		default:
-			go func() {
-				defer l.release(a)
-				l.ask(context.WithoutCancel(ctx), a)
-			}()
+			go l.askInBackground(context.WithoutCancel(ctx), a)
 		}
 	}
 	essential.Wait()
@@ -78,8 +78,7 @@
 	essential bool
 }
 
-// needs returns the need of a shard, and false if it has none. The caller must call release for a
-// need that is not essential.
+// needs returns the need of a shard, and false if it has none.
 func (l *Limiter) needs(d Demand, targets []string) (acquisition, bool) {
 	now := l.cfg.Clock()
 	a := acquisition{priority: d.Priority, essential: true}
@@ -112,17 +111,18 @@
 	case asked && now-before < denseInterval:
 		a.maxWait = denseInterval
 	}
-	if !a.essential {
-		a.targets = slices.DeleteFunc(a.targets, func(t string) bool { return l.asking[t] })
-		for _, t := range a.targets {
-			l.asking[t] = true
-		}
-	}
-	return a, len(a.targets) > 0
+	return a, true
 }
 
-// release ends an acquisition in the background.
-func (l *Limiter) release(a acquisition) {
+// askInBackground asks for tokens of those targets for which no other request asks.
+func (l *Limiter) askInBackground(ctx context.Context, a acquisition) {
+	l.mu.Lock()
+	a.targets = slices.DeleteFunc(a.targets, func(t string) bool { return l.asking[t] })
+	for _, t := range a.targets {
+		l.asking[t] = true
+	}
+	l.mu.Unlock()
+	l.ask(ctx, a)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range a.targets {
