Apply a reply before its connection serves another attempt

Cause: targethttp returned the connection to its pool before the relay had applied what the reply states, so that the waiting attempt could pass MaySend first. The same held for hold-offs and rate limits, and for hold-offs of searches. Change: Exchange and Search call OnReply and OnSearchEnd with the result before the connection goes back to the pool; the notices are applied there. Conclusion: the order no longer depends on the scheduler.

--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -88,16 +88,21 @@
 		Query:          w.req.search.Query,
 		DeadlineUnixMS: w.req.deadline.UnixMilli(),
 		AtMostOnce:     a.AtMostOnce,
-	}, targethttp.Options{FreshConnection: a.FreshConnection, SilentAfter: a.SilentAfter, MaySend: w.engine.core.MaySend})
+	}, targethttp.Options{FreshConnection: a.FreshConnection, SilentAfter: a.SilentAfter, MaySend: w.engine.core.MaySend,
+		OnSearchEnd: func(_ *targetapi.SearchReply, err error) { w.applyNotices(a.Target, err) }})
 	if err != nil {
-		if se := status.From(err); se.Code == status.Shed && se.RetryAfter > 0 {
-			w.engine.core.RecordHoldOff(a.Target, w.req.id.String(), se.RetryAfter)
-		}
 		return nil, err // A nil *SearchReply would be a non-nil interface value.
 	}
 	return reply, nil
 }
 
+// applyNotices applies what a target stated about new requests in the result of an attempt.
+func (w *searchWork) applyNotices(target string, err error) {
+	if se := status.From(err); se != nil && se.Code == status.Shed && se.RetryAfter > 0 {
+		w.engine.core.RecordHoldOff(target, w.req.id.String(), se.RetryAfter)
+	}
+}
+
 // Accept implements engine.Work.
 func (w *searchWork) Accept(shard int, reply any) {
 	targetHits := reply.(*targetapi.SearchReply).Hits
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,8 +46,9 @@
 type TargetClient interface {
 	engine.Connections
 	// Send sends one attempt, which may take at most the duration left. Every error is a
-	// *status.Error whose outcome is NotRun only if the attempt provably did not run.
-	Send(ctx context.Context, target string, req *relayapi.Request, left time.Duration, opt targethttp.Options) (*relayapi.Reply, error)
+	// *status.Error whose outcome is NotRun only if the attempt provably did not run. onReply is
+	// called with the reply before its connection serves another attempt.
+	Send(ctx context.Context, target string, req *relayapi.Request, left time.Duration, opt targethttp.Options, onReply func(*relayapi.Reply)) (*relayapi.Reply, error)
 	// Configure replaces the targets. share returns the number of connections that this entry may
 	// hold to a target.
 	Configure(targets []sheet.Target, share func(sheet.Target) int)
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -49,14 +49,13 @@
 		SilentAfter:     a.SilentAfter,
 		MaxBodyBytes:    w.maxBodyBytes,
 		MaySend:         w.relay.cfg.Engine.MaySend,
-	})
+	}, func(reply *relayapi.Reply) { w.applyNotices(a.Target, reply, sent) })
 	if err != nil {
 		return nil, err
 	}
 	if reply.Misdirected {
 		return nil, status.New(status.Draining, status.NotRun, "the address of target %s belongs to another target", a.Target)
 	}
-	w.applyNotices(a.Target, reply, sent)
 	switch {
 	case reply.NotRun:
 		return nil, status.Wrap(&relayapi.ReplyError{Reply: reply}, status.Shed, status.NotRun, "target %s refused the request", a.Target).WithRetryAfter(reply.RetryAfter)
@@ -71,7 +70,7 @@
 // applyNotices applies what a target's reply to a request sent at the given time states about new
 // requests: that the target is leaving, wants no requests for a time or limits their rate.
 func (w *requestWork) applyNotices(target string, reply *relayapi.Reply, sent time.Duration) {
-	if isSuccess(reply) && reply.Signature == "" {
+	if reply.Misdirected || isSuccess(reply) && reply.Signature == "" {
 		return // Nothing proves that the target itself made the reply.
 	}
 	if reply.Leaving {
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -48,6 +48,9 @@
 	// MaySend is called once the attempt has its connection. If it returns an error, which must
 	// have the outcome NotRun, nothing is sent. Nil allows every attempt.
 	MaySend func(target string) error
+	// OnSearchEnd is called with the result of Search before the connection serves another attempt,
+	// so that what the target stated applies to the attempts that wait for it. It may be nil.
+	OnSearchEnd func(reply *targetapi.SearchReply, err error)
 }
 
 // Client sends attempts to targets. It is safe for concurrent use.
@@ -167,7 +170,7 @@
 		return nil, err
 	}
 	x := &exchange{client: c, pool: p, conn: cn, target: target, started: time.Now()}
-	return x.run(ctx, message, req.Identity, opt.SilentAfter)
+	return x.run(ctx, message, req.Identity, opt)
 }
 
 // Status returns the status that a target reports, which may be out of date or wrong. Every error
@@ -236,8 +239,8 @@
 }
 
 // run sends an attempt and checks that the reply matches it.
-func (x *exchange) run(ctx context.Context, message []byte, identity targetapi.Identity, silentAfter time.Duration) (*targetapi.SearchReply, error) {
-	code, body, err := x.roundTrip(ctx, message, silentAfter)
+func (x *exchange) run(ctx context.Context, message []byte, identity targetapi.Identity, opt Options) (*targetapi.SearchReply, error) {
+	code, body, err := x.roundTrip(ctx, message, opt.SilentAfter)
 	if err != nil {
 		return nil, err
 	}
@@ -246,6 +249,9 @@
 		x.client.metrics.ReplyMismatch()
 		x.reusable = false
 	}
+	if opt.OnSearchEnd != nil {
+		opt.OnSearchEnd(reply, err)
+	}
 	x.finish()
 	return reply, err
 }
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -359,3 +359,50 @@
 
 func (noMetrics) SilentConnection() {}
 func (noMetrics) ReplyMismatch()    {}
+
+// Guards against a waiting attempt that is sent before the reply on its connection was applied.
+func TestWaitingAttemptSeesTheReplyOnItsConnection(t *testing.T) {
+	replied := make(chan struct{})
+	client, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		<-replied
+		echo(w, r)
+	}, 1)
+	for name, send := range map[string]func(apply func(), maySend func(string) error) error{
+		"search": func(apply func(), maySend func(string) error) error {
+			_, err := client.Search(t.Context(), "target-1", testRequest(1), Options{MaySend: maySend, OnSearchEnd: func(*targetapi.SearchReply, error) { apply() }})
+			return err
+		},
+		"exchange": func(apply func(), maySend func(string) error) error {
+			m := &Message{Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: t\r\n\r\n"), OnReply: func(*Reply) { apply() }}
+			_, err := client.Exchange(t.Context(), "target-1", m, Options{MaySend: maySend})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var closed atomic.Bool
+			maySend := func(string) error {
+				if closed.Load() {
+					return status.New(status.NoReplica, status.NotRun, "closed")
+				}
+				return nil
+			}
+			apply := func() {
+				time.Sleep(20 * time.Millisecond) // Time for the other attempt to be sent.
+				closed.Store(true)
+			}
+			results := make(chan error, 2)
+			for range 2 {
+				go func() { results <- send(apply, maySend) }()
+			}
+			time.Sleep(20 * time.Millisecond) // One attempt waits for the connection.
+			select {
+			case <-replied:
+			default:
+				close(replied)
+			}
+			is.NoErr(<-results)
+			is.Equal(status.CodeOf(<-results), status.NoReplica)
+		})
+	}
+}
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -35,6 +35,9 @@
 	// connection, a reply that does not may belong to an earlier request and is rejected. Nil
 	// accepts every reply.
 	HasRequestID func(http.Header) bool
+	// OnReply is called with the reply before the connection serves another attempt, so that what the
+	// target stated applies to the attempts that wait for it. It may be nil.
+	OnReply func(*Reply)
 }
 
 // Reply is a complete reply with a body of at most MaxReplyBytes.
@@ -77,6 +80,9 @@
 		x.pool.discard(x.conn)
 		return nil, x.ioError(ctx, err, outcome)
 	}
+	if m.OnReply != nil {
+		m.OnReply(reply)
+	}
 	x.finish()
 	return reply, nil
 }
