Respect rate limits of targets of searches

Cause: only replies to relayed requests could state a rate limit; targets of searches had no field for it. Change: replies and refusals of targets carry rate_limit, applied before their connection serves another attempt; a value that is no rate is ignored, counted and logged. The stand-in target states one on command (fault limit).

--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -12,6 +12,7 @@
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/transport/callerhttp"
@@ -76,6 +77,7 @@
 
 // Send implements engine.Work.
 func (w *searchWork) Send(ctx context.Context, a engine.Attempt) (any, error) {
+	sent := w.engine.self.Clock()
 	reply, err := w.engine.targets.Search(ctx, a.Target, &targetapi.SearchRequest{
 		Identity: targetapi.Identity{
 			RequestID: w.req.id.String(),
@@ -89,17 +91,27 @@
 		DeadlineUnixMS: w.req.deadline.UnixMilli(),
 		AtMostOnce:     a.AtMostOnce,
 	}, targethttp.Options{FreshConnection: a.FreshConnection, SilentAfter: a.SilentAfter, MaySend: w.engine.core.MaySend,
-		OnSearchEnd: func(_ *targetapi.SearchReply, err error) { w.applyNotices(a.Target, err) }})
+		OnSearchEnd: func(rateLimit *requestrate.Field, err error) { w.applyNotices(a.Target, sent, rateLimit, err) }})
 	if err != nil {
 		return nil, err // A nil *SearchReply would be a non-nil interface value.
 	}
 	return reply, nil
 }
 
-// applyNotices applies what a target stated about new requests in the result of an attempt.
-func (w *searchWork) applyNotices(target string, err error) {
+// applyNotices applies what a target stated about new requests in the result of an attempt that was
+// sent at the given time.
+func (w *searchWork) applyNotices(target string, sent time.Duration, rateLimit *requestrate.Field, err error) {
+	limits, id := w.engine.core.RateLimits(), w.req.id.String()
+	switch {
+	case rateLimit == nil:
+		limits.RecordReply(target, id, sent, requestrate.Rate{}, err == nil)
+	case rateLimit.Invalid != nil:
+		limits.RecordInvalid(target, id, rateLimit.Invalid)
+	default:
+		limits.RecordReply(target, id, sent, rateLimit.Rate, err == nil)
+	}
 	if se := status.From(err); se != nil && se.Code == status.Shed && se.RetryAfter > 0 {
-		w.engine.core.RecordHoldOff(target, w.req.id.String(), se.RetryAfter)
+		w.engine.core.RecordHoldOff(target, id, se.RetryAfter)
 	}
 }
 
--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/standin/tracked"
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -26,6 +27,8 @@
 	FaultCrash Fault = "crash"
 	// FaultShed refuses attempts with the code shed.
 	FaultShed Fault = "shed"
+	// FaultLimit states a rate limit of PerSecond in replies and refusals, without enforcing it.
+	FaultLimit Fault = "limit"
 	// FaultDrain refuses attempts with the code draining. Running attempts continue.
 	FaultDrain Fault = "drain"
 	// FaultResetBeforeRun resets the connection after the request has been read. The attempt does not
@@ -65,6 +68,8 @@
 	Query string `json:"query,omitempty"`
 	// Factor multiplies service times (slow).
 	Factor float64 `json:"factor,omitempty"`
+	// PerSecond is the stated rate limit in requests per second (limit).
+	PerSecond float64 `json:"per_second,omitempty"`
 	// DelayMS is the delay of the reply in milliseconds (delay).
 	DelayMS int64 `json:"delay_ms,omitempty"`
 	// RestartMS is the time for which a crashed target refuses connections, in milliseconds (crash).
@@ -200,7 +205,7 @@
 }
 
 var allFaults = []Fault{
-	FaultSlow, FaultDelay, FaultSilent, FaultCrash, FaultShed, FaultDrain,
+	FaultSlow, FaultDelay, FaultSilent, FaultCrash, FaultShed, FaultLimit, FaultDrain,
 	FaultResetBeforeRun, FaultResetAfterRun, FaultNeverReply, FaultWrongReply, FaultStatus, FaultSnapshots, FaultClear,
 }
 
@@ -227,6 +232,8 @@
 		return invalidField("off", c.Off, "false for this fault")
 	case c.Fault == FaultSlow && !c.Off && (c.Factor <= 0 || c.Factor > maxFactor):
 		return invalidField("factor", c.Factor, fmt.Sprintf("a number above 0, at most %d", maxFactor))
+	case c.PerSecond < 0 || c.PerSecond > requestrate.MaxPerSecond:
+		return invalidField("per_second", c.PerSecond, fmt.Sprintf("a number from 0 to %d", int(requestrate.MaxPerSecond)))
 	case c.Fault == FaultWrongReply && !c.Off && !slices.Contains(allKinds, c.Kind):
 		return invalidField("kind", c.Kind, fmt.Sprintf("one of %q", allKinds))
 	case c.Bytes < 0 || c.Bytes > maxOversizedBytes:
--- a/internal/standin/target/search.go
+++ b/internal/standin/target/search.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/standin/tracked"
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 )
@@ -174,10 +175,19 @@
 		t.recordFault(run, string(active.Kind))
 		sent = t.sendWrongReply(w, r, req, active)
 	} else {
-		sent = writeJSON(w, r, http.StatusOK, targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query)})
+		sent = writeJSON(w, r, http.StatusOK, targetapi.SearchReply{Identity: req.Identity, Hits: Hits(req.Identity, req.Query), RateLimit: t.rateLimit(req.Query)})
 	}
 }
 
+// rateLimit returns the rate limit that replies to a query state, or nil.
+func (t *Target) rateLimit(query string) *requestrate.Field {
+	active := t.matchFault(FaultLimit, query)
+	if active == nil {
+		return nil
+	}
+	return &requestrate.Field{Rate: requestrate.Rate{Stated: true, PerSecond: active.PerSecond}}
+}
+
 func (t *Target) recordReply(run *Run, sent bool) {
 	t.record.update(run, func(run *Run) { run.ReplySent = sent })
 	t.counts.update(func(c *Counters) {
@@ -200,6 +210,7 @@
 		NotRun:       err.Outcome == status.NotRun,
 		RetryAfterMS: err.RetryAfter.Milliseconds(),
 		Message:      err.Message,
+		RateLimit:    t.rateLimit(req.Query),
 	})
 }
 
--- a/protocol/targetapi/targetapi.go
+++ b/protocol/targetapi/targetapi.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -50,6 +51,9 @@
 type SearchReply struct {
 	Identity
 	Hits []Hit `json:"hits"`
+	// RateLimit is the number of requests per second that the target takes from all entries together,
+	// for as long as it states it. Nil means no limit.
+	RateLimit *requestrate.Field `json:"rate_limit,omitempty"`
 }
 
 // Refusal is the body of a reply with any other HTTP status.
@@ -60,6 +64,8 @@
 	NotRun       bool   `json:"not_run"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 	Message      string `json:"message,omitempty"`
+	// RateLimit is as in SearchReply.
+	RateLimit *requestrate.Field `json:"rate_limit,omitempty"`
 }
 
 // Status is a target's report about itself. It may be outdated or wrong.
--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -226,3 +226,23 @@
 	stop()
 	is.True(answered > 0)
 }
+
+// Guards against a target that gets more attempts from all entries together than the rate limit that
+// it announced allows.
+func TestRateLimitedTargetGetsNoMoreThanItsLimit(t *testing.T) {
+	const limit, window = 5, 4 * time.Second
+	is := is.New(t)
+	c := testfleet.New(t, testfleet.Options{Entries: 3, Targets: 4, Shards: 8, ServiceMS: 2})
+	defer startLoad(c, 6, func(string, testfleet.Result) {})()
+	limited := c.Targets[0]
+	c.Eventually("the target works", func() bool { return limited.Counters().Started > 20 })
+	is.NoErr(limited.Apply(target.Command{Fault: target.FaultLimit, PerSecond: limit}))
+	time.Sleep(window)
+	before, start := limited.Counters().Started, time.Now()
+	time.Sleep(window)
+	started, allowed := limited.Counters().Started-before, int64(1.5*limit*time.Since(start).Seconds())+5
+	is.True(started > 0)        // The limit is used.
+	is.True(started <= allowed) // And respected.
+	is.NoErr(limited.Apply(target.Command{Fault: target.FaultLimit, Off: true}))
+	c.Eventually("the target works again", func() bool { return limited.Counters().Started > before+started+100 })
+}
--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/segmentio/encoding/json"
 
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
@@ -49,8 +50,9 @@
 	// have the outcome NotRun, nothing is sent. Nil allows every attempt.
 	MaySend func(target string) error
 	// OnSearchEnd is called with the result of Search before the connection serves another attempt,
-	// so that what the target stated applies to the attempts that wait for it. It may be nil.
-	OnSearchEnd func(reply *targetapi.SearchReply, err error)
+	// so that what the target stated applies to the attempts that wait for it. rateLimit is the rate
+	// limit that it stated, nil for none. It may be nil.
+	OnSearchEnd func(rateLimit *requestrate.Field, err error)
 }
 
 // Client sends attempts to targets. It is safe for concurrent use.
@@ -244,13 +246,13 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := decodeReply(code, body, identity)
+	reply, rateLimit, err := decodeReply(code, body, identity)
 	if status.CodeOf(err) == status.ReplyMismatch {
 		x.client.metrics.ReplyMismatch()
 		x.reusable = false
 	}
 	if opt.OnSearchEnd != nil {
-		opt.OnSearchEnd(reply, err)
+		opt.OnSearchEnd(rateLimit, err)
 	}
 	x.finish()
 	return reply, err
@@ -350,32 +352,34 @@
 	return status.Wrap(context.Cause(ctx), code, outcome, "%s", what)
 }
 
-// decodeReply checks a reply against the identity of the attempt.
-func decodeReply(code int, body []byte, identity targetapi.Identity) (*targetapi.SearchReply, error) {
+// decodeReply checks a reply against the identity of the attempt. It also returns the rate limit that
+// the target stated, unless the reply is not the target's own.
+func decodeReply(code int, body []byte, identity targetapi.Identity) (*targetapi.SearchReply, *requestrate.Field, error) {
 	if code != http.StatusOK {
-		return nil, decodeRefusal(code, body, identity)
+		rateLimit, err := decodeRefusal(code, body, identity)
+		return nil, rateLimit, err
 	}
 	var reply targetapi.SearchReply
 	if err := json.Unmarshal(body, &reply); err != nil {
-		return nil, status.Wrap(err, status.ReplyMismatch, status.Unknown, "reply is not valid JSON")
+		return nil, nil, status.Wrap(err, status.ReplyMismatch, status.Unknown, "reply is not valid JSON")
 	}
 	if reply.Identity != identity {
-		return nil, status.New(status.ReplyMismatch, status.Unknown, "reply is for request %s attempt %d shard %d", reply.RequestID, reply.Attempt, reply.Shard)
+		return nil, nil, status.New(status.ReplyMismatch, status.Unknown, "reply is for request %s attempt %d shard %d", reply.RequestID, reply.Attempt, reply.Shard)
 	}
 	for _, h := range reply.Hits {
 		if h.Workspace != "" && h.Workspace != identity.Workspace {
-			return nil, status.New(status.ReplyMismatch, status.Unknown, "reply contains a hit of another workspace")
+			return nil, nil, status.New(status.ReplyMismatch, status.Unknown, "reply contains a hit of another workspace")
 		}
 	}
-	return &reply, nil
+	return &reply, reply.RateLimit, nil
 }
 
-// decodeRefusal returns the error of a refusal. A refusal that does not match the identity of the
+// decodeRefusal returns the error of a refusal and the rate limit in it. A refusal that does not match the identity of the
 // attempt has an unknown outcome.
-func decodeRefusal(code int, body []byte, identity targetapi.Identity) error {
+func decodeRefusal(code int, body []byte, identity targetapi.Identity) (*requestrate.Field, error) {
 	var r targetapi.Refusal
 	if err := json.Unmarshal(body, &r); err != nil || r.Identity != identity {
-		return status.New(status.ReplyMismatch, status.Unknown, "refusal with status %d does not match the attempt", code)
+		return nil, status.New(status.ReplyMismatch, status.Unknown, "refusal with status %d does not match the attempt", code)
 	}
 	outcome := status.Unknown
 	if r.NotRun {
@@ -386,5 +390,5 @@
 	}
 	e := status.New(r.Code, outcome, "target refused: %s", r.Message)
 	e.RetryAfter = time.Duration(r.RetryAfterMS) * time.Millisecond
-	return e
+	return r.RateLimit, e
 }
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
@@ -307,7 +308,7 @@
 	f.Add(503, []byte(`{"code":"shed","not_run":true}`))
 	f.Add(200, []byte(`{"hits":null`))
 	f.Fuzz(func(t *testing.T, code int, body []byte) {
-		reply, err := decodeReply(code, body, want)
+		reply, _, err := decodeReply(code, body, want)
 		if err == nil && reply.Identity != want {
 			t.Fatal("a reply with another identity was accepted")
 		}
@@ -369,7 +370,7 @@
 	}, 1)
 	for name, send := range map[string]func(apply func(), maySend func(string) error) error{
 		"search": func(apply func(), maySend func(string) error) error {
-			_, err := client.Search(t.Context(), "target-1", testRequest(1), Options{MaySend: maySend, OnSearchEnd: func(*targetapi.SearchReply, error) { apply() }})
+			_, err := client.Search(t.Context(), "target-1", testRequest(1), Options{MaySend: maySend, OnSearchEnd: func(*requestrate.Field, error) { apply() }})
 			return err
 		},
 		"exchange": func(apply func(), maySend func(string) error) error {
--- a/transport/targethttp/decode_bench_test.go
+++ b/transport/targethttp/decode_bench_test.go
@@ -22,7 +22,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := decodeReply(200, body, reply.Identity); err != nil {
+		if _, _, err := decodeReply(200, body, reply.Identity); err != nil {
 			b.Fatal(err)
 		}
 	}
