--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -103,7 +103,8 @@
 			MaxFanout:       unlimited,
 		},
 		Groups: s.groups, GroupTargets: s.snapshot.Shards,
-		Work: &search{sim: s, kind: k, rng: rand.New(rand.NewPCG(rng.Uint64(), 6))},
+		Priority: k.Priority,
+		Work:     &search{sim: s, kind: k, entry: entry, rng: rand.New(rand.NewPCG(rng.Uint64(), 6))},
 	}
 	if waited := time.Since(firstCall) - callerOneWayDelay; !s.load.HideWaited && float64(waited) > minReportedWait*float64(k.Goal) {
 		req.Waited = waited
@@ -117,6 +118,8 @@
 type search struct {
 	sim  *simulation
 	kind Kind
+	// entry is the number of the entry that runs the search.
+	entry int
 
 	mu sync.Mutex
 	// rng is guarded by mu.
@@ -139,9 +142,15 @@
 
 // Send implements engine.Work.
 func (s *search) Send(ctx context.Context, a engine.Attempt) (any, error) {
-	if err := s.sim.result.Targets[a.Target].simulateAttempt(ctx, s.sim.now, s.drawServiceTime()); err != nil {
+	e := s.sim.engines[s.entry]
+	if err := e.MaySend(a.Target); err != nil {
 		return nil, err
 	}
+	sent, target := e.Self().Clock(), s.sim.result.Targets[a.Target]
+	if err := target.simulateAttempt(ctx, s.sim.now, s.drawServiceTime()); err != nil {
+		return nil, err
+	}
+	e.RateLimits().RecordReply(a.Target, "", sent, target.statedRate(s.sim.now()), true)
 	return struct{}{}, nil
 }
 
--- a/internal/loadmodel/load.go
+++ b/internal/loadmodel/load.go
@@ -9,18 +9,24 @@
 package loadmodel
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
 	"github.com/balsamstall/balsamstall/internal/engine"
+	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 // Parameters of the simulated deployment, which resembles those of the users.
@@ -53,6 +59,8 @@
 	MinRatio float64
 	// Weight is the weight of the kind in a summary.
 	Weight float64
+	// Priority ranks the kinds, 1 being the most urgent.
+	Priority int
 }
 
 // Load describes a load to simulate.
@@ -138,12 +146,27 @@
 		s.result.kinds[k.Name] = &Outcome{}
 	}
 	s.result.kinds[ReturningKind] = &Outcome{}
+	var fleet targetrate.Fleet
 	for i := range l.Entries {
 		self := engine.Identity{Entry: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprint(i % zones), Incarnation: ids.NewIncarnation(), Start: s.start.Add(-time.Hour)}
-		e := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: connections{s}, FingerprintKey: []byte("model"), PolicyOn: true, Metrics: &engine.Metrics{}})
+		e := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: connections{s}, FingerprintKey: []byte("model"), PolicyOn: true, Metrics: &engine.Metrics{}, Tokens: s.callPeer})
 		e.SetCatalogue(catalogue)
 		s.engines = append(s.engines, e)
+		fleet.Entries = append(fleet.Entries, ratelimit.Entry{ID: self.Entry, Zone: self.Zone, Address: fmt.Sprint(i)})
 	}
+	for _, e := range s.engines {
+		e.RateLimits().SetFleet(fleet)
+	}
+}
+
+// callPeer simulates a call of an entry to another one, whose address is its number.
+func (s *simulation) callPeer(_ context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error) {
+	time.Sleep(2 * targetOneWayDelay)
+	i, err := strconv.Atoi(address)
+	if err != nil {
+		return nil, status.Wrap(err, status.InvalidArgument, status.NotRun, "address of an entry")
+	}
+	return s.engines[i].RateLimits().HandleRequest(in), nil
 }
 
 // TargetName returns the name of a replica of a shard. Both count from 0.
--- a/internal/loadmodel/loads.go
+++ b/internal/loadmodel/loads.go
@@ -6,13 +6,13 @@
 // rate.
 func SearchKinds(rateFactor float64) []Kind {
 	return []Kind{
-		{Name: "wide", Rate: 165 * rateFactor, MeanServiceTime: 20 * time.Millisecond, Goal: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, MinRatio: 0.89, Weight: 2},
-		{Name: "quick", Rate: 55 * rateFactor, MeanServiceTime: 6700 * time.Microsecond, Goal: 60 * time.Millisecond, Deadline: time.Second, MinRatio: 0.75, Weight: 1},
+		{Name: "wide", Rate: 165 * rateFactor, MeanServiceTime: 20 * time.Millisecond, Goal: 150 * time.Millisecond, Deadline: 2500 * time.Millisecond, MinRatio: 0.89, Weight: 2, Priority: 2},
+		{Name: "quick", Rate: 55 * rateFactor, MeanServiceTime: 6700 * time.Microsecond, Goal: 60 * time.Millisecond, Deadline: time.Second, MinRatio: 0.75, Weight: 1, Priority: 1},
 	}
 }
 
 // Names lists the names that Named accepts.
-var Names = []string{"calm", "slow", "crest", "lost", "shed", "partition", "outage"}
+var Names = []string{"calm", "slow", "crest", "lost", "shed", "partition", "outage", "limited"}
 
 // Named returns the load of the given name for a number of entries, or nil for an unknown name.
 // The users' heaviest days consist of these loads.
@@ -53,6 +53,13 @@
 		}
 	case "outage": // The callers of an outage return in addition to the usual ones.
 		l.Duration, l.Amplitude, l.Kinds, l.ReturningRate = 2*time.Second, 0, SearchKinds(1.1), 350
+	case "limited": // Two targets of each shard state a rate limit, and all three of every third shard.
+		l.Kinds = SearchKinds(0.7)
+		l.SetupTarget = func(shard, replica int, t *Target) {
+			if replica < 2 || shard%3 == 0 {
+				t.RateLimit, t.RateLimitStart = 15, 2*time.Second
+			}
+		}
 	default:
 		return nil
 	}
--- a/internal/loadmodel/target.go
+++ b/internal/loadmodel/target.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -27,6 +28,10 @@
 	Slowdown, RefusalProbability float64
 	// Down makes the target refuse connections.
 	Down bool
+	// RateLimit is the rate limit that the target states in its replies from RateLimitStart on, in
+	// requests per second. Zero means none.
+	RateLimit      float64
+	RateLimitStart time.Duration
 	// PartitionStart and PartitionEnd bound a partition, during which bytes to the target are lost.
 	PartitionStart, PartitionEnd time.Duration
 
@@ -39,6 +44,8 @@
 	busy    time.Duration
 	// lost counts the attempts that were lost in a partition.
 	lost int
+	// arrivals holds the times at which attempts arrived while the target stated a rate limit.
+	arrivals []time.Duration
 }
 
 // Counts are the counters of a target.
@@ -57,6 +64,32 @@
 	return Counts{Served: t.served, Running: t.running, Lost: t.lost, Busy: t.busy}
 }
 
+// MaxArrivals returns the largest number of attempts that arrived within any window that begins after
+// the target had stated its rate limit for the grace time.
+func (t *Target) MaxArrivals(grace, window time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	most, first := 0, 0
+	for last, at := range t.arrivals {
+		for t.arrivals[first] < max(at-window, t.RateLimitStart+grace) && first < last {
+			first++
+		}
+		if at >= t.RateLimitStart+grace {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// statedRate returns the rate limit that a reply at the given time states.
+func (t *Target) statedRate(now time.Duration) requestrate.Rate {
+	limited := t.RateLimit > 0 && now >= t.RateLimitStart
+	if !limited {
+		return requestrate.Rate{}
+	}
+	return requestrate.Rate{Stated: true, PerSecond: t.RateLimit}
+}
+
 func (t *Target) partitioned(now time.Duration) bool {
 	return t.PartitionStart <= now && now < t.PartitionEnd
 }
@@ -103,6 +136,9 @@
 		return contextError(ctx)
 	}
 	t.mu.Lock()
+	if t.statedRate(now()).Stated {
+		t.arrivals = append(t.arrivals, now())
+	}
 	switch {
 	case t.Down:
 		t.mu.Unlock()
