--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -57,6 +57,8 @@
 	Actor  string `json:"actor"`
 	Detail string `json:"detail"`
 	Target string `json:"target"`
+	// LimitPerS is the rate limit of a target, nil if the line has none.
+	LimitPerS *float64 `json:"limit_per_s"`
 }
 
 // decision is one step of an explanation.
@@ -163,6 +165,9 @@
 		if l.Target != "" {
 			text += ", target " + l.Target
 		}
+		if l.LimitPerS != nil {
+			text += fmt.Sprintf(", %g requests a second", *l.LimitPerS)
+		}
 		return []decision{{l.Time, l.Entry, text}}
 	}
 	decisions := []decision{{l.Time, l.Entry, fmt.Sprintf("service %s with sheet %d and targets %d: goal %d ms, deadline %d ms",
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -11,7 +11,8 @@
 not a log line
   4.01 front {"entry":"e-1","request_id":"other","service":"s","message":"request"}
   4.02 front {"level":"warn","entry":"e-1","target":"i-2","request_id":"id-1","refused":false,"message":"target crashed during an attempt"}
-  4.03 front {"entry":"e-1","request_id":"id-1","service":"wide","sheet":7,"targets":3,"answered":1,"shards":3,"took_ms":52,"goal_ms":60,"deadline_ms":990,"attempts":"0:i-1@0+5=ok 1:i-2@0+2=connection_failed 1:@2+?(no_budget) 2:@0+?(over_limit) 0:i-9@23+?(hedge)","code":"overloaded","outcome":"not_run","detail":"2 of 3 shards take the request","retry_after_ms":200,"time":"2026-12-04T05:00:04Z","message":"request"}
+  4.02 front {"level":"info","entry":"e-1","target":"i-3","request_id":"id-1","limit_per_s":4.5,"message":"target announced a rate limit"}
+  4.03 front {"entry":"e-1","request_id":"id-1","service":"wide","sheet":7,"targets":3,"answered":1,"shards":3,"took_ms":52,"goal_ms":60,"deadline_ms":990,"attempts":"0:i-1@0+5=ok 1:i-2@0+2=connection_failed 1:@2+?(no_budget) 2:@0+?(over_limit) 3:@0+?(rate_limited) 0:i-9@23+?(hedge)","code":"overloaded","outcome":"not_run","detail":"2 of 3 shards take the request","retry_after_ms":200,"time":"2026-12-04T05:00:04Z","message":"request"}
 `
 
 // Guards against an explanation that mixes requests or omits a decision.
@@ -25,12 +26,14 @@
 	}
 	is.Equal(text, []string{
 		"target crashed during an attempt, target i-2",
+		"target announced a rate limit, target i-3, 4.5 requests a second",
 		"sheet revision 7 came into force, from platform",
 		"service wide with sheet 7 and targets 3: goal 60 ms, deadline 990 ms",
 		"  shard 0 at 0 ms: sent to i-1, ok after 5 ms",
 		"  shard 1 at 0 ms: sent to i-2, connection_failed after 2 ms",
 		"  shard 1 at 2 ms: the fleet's budget of repeats for this group is exhausted",
 		"  shard 2 at 0 ms: not sent: the shard is overloaded or unresponsive",
+		"  shard 3 at 0 ms: not sent: the targets are at the rate limits that they announced",
 		"  shard 0 at 23 ms: sent to i-9 (hedge to another target), no reply before the request ended",
 		"failed after 52 ms: overloaded (2 of 3 shards take the request), outcome not_run, 1 of 3 shards, retry after 200ms",
 	})
--- a/internal/engine/once.go
+++ b/internal/engine/once.go
@@ -57,6 +57,10 @@
 			target, ok = e.chooseWithIsolation(req, chosen.Shards[shard], shard, nil, guard.isolated)
 		}
 		if !ok {
+			if _, limited := e.rateLimitWait(req, shard, e.candidates(req, chosen.Shards[shard], shard)); limited && number == 1 {
+				t.recordStart(shard, "", causeRateLimited)
+				lastErr = status.New(status.Overloaded, status.NotRun, "the targets of shard %d are at their rate limits", shard)
+			}
 			break
 		}
 		tried = append(tried, target)
