Leave tokens that an entry does not need to others

Cause: an entry asked for a token in the background with each request, also while it held some; allocators behind a cut zone were asked first; and peers were told of limits that had ended for ten minutes, also while no target had a limit. Change: an entry holds at most two tokens of a target for later requests, targets of unreachable zones are left out before tokens are asked for, and an ended limit is reported for 30 s. State that has ended is removed without limits too.

--- a/coordination/ratelimit/announcements.go
+++ b/coordination/ratelimit/announcements.go
@@ -17,6 +17,9 @@
 	// whose limit has ended, is remembered. It is longer than it takes to restore a list that
 	// expired.
 	retention = 10 * time.Minute
+	// endedReportAge is the age up to which peers are told that a limit ended. Those who missed it
+	// learn it from a reply.
+	endedReportAge = 30 * time.Second
 	// maxTargets limits the number of announcements. A zone has up to 6,700 targets by design.
 	maxTargets = 8192
 	// maxPerSecond is the largest limit that is accepted from a peer.
@@ -158,13 +161,14 @@
 	return Announcement{Target: Target{id, s.started}, Limited: s.limited, PerSecond: s.perSecond, Age: max(now-s.at, 0)}, known
 }
 
-// Reports returns the announcements for peers, the newest first. It includes limits that ended, so
-// that peers do not keep them.
+// Reports returns the announcements for peers, the newest first. It includes limits that ended
+// recently, so that peers do not keep them.
 func (a *Announcements) Reports(now time.Duration) []Announcement {
 	reports := make([]Announcement, 0, len(a.known))
 	for id := range a.known {
-		r, _ := a.Announcement(id, now)
-		reports = append(reports, r)
+		if r, _ := a.Announcement(id, now); r.Limited || r.Age < endedReportAge {
+			reports = append(reports, r)
+		}
 	}
 	slices.SortFunc(reports, func(x, y Announcement) int {
 		return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.ID, y.ID))
--- a/coordination/ratelimit/tokens.go
+++ b/coordination/ratelimit/tokens.go
@@ -67,6 +67,17 @@
 	return t.find(target, rank, now) >= 0
 }
 
+// Held returns the number of tokens of a target that a request of a rank may use, now or later.
+func (t *Tokens) Held(target string, rank int, now time.Duration) int {
+	held := 0
+	for _, k := range t.held[target] {
+		if now < k.until && rank <= k.rank {
+			held++
+		}
+	}
+	return held
+}
+
 // Take takes a token for a request of a rank. The request must call Admit when it is sent.
 func (t *Tokens) Take(target string, rank int, now time.Duration) bool {
 	i := t.find(target, rank, now)
--- a/internal/engine/ratelimits.go
+++ b/internal/engine/ratelimits.go
@@ -23,7 +23,10 @@
 		if req.GroupTargets != nil {
 			targets = req.GroupTargets[first+i]
 		}
-		d.Shards[i] = slices.DeleteFunc(slices.Clone(targets), func(t string) bool { return !e.usable(t) })
+		d.Shards[i] = slices.DeleteFunc(slices.Clone(targets), func(t string) bool {
+			zone, known := e.policy.zoneOf(t)
+			return !e.usable(t) || known && e.zones.unreachable(zone)
+		})
 	}
 	req.rateRanks = append(make(targetrate.Ranks, first), e.rateLimits.Prepare(ctx, d)...)
 }
--- a/internal/targetrate/acquire.go
+++ b/internal/targetrate/acquire.go
@@ -27,6 +27,8 @@
 	// which a request waits for a token that was granted to it.
 	patienceFraction = 0.25
 	maxPatience      = 150 * time.Millisecond
+	// maxPrefetched is the number of tokens of a target that this entry holds for later requests.
+	maxPrefetched = 2
 	// optionalRank is added to the priority of a request, from 1 to 9, for tokens of the shards that
 	// it can do without.
 	optionalRank = 10
@@ -138,8 +140,9 @@
 	now := l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	// One request asks for a target at a time.
-	wanted = slices.DeleteFunc(wanted, func(t string) bool { return l.asking[t] })
+	// One request asks for a target at a time, and tokens that this entry does not need are left to
+	// others.
+	wanted = slices.DeleteFunc(wanted, func(t string) bool { return l.asking[t] || l.tokens.Held(t, rank, now) >= maxPrefetched })
 	if len(wanted) == 0 {
 		return
 	}
--- a/internal/targetrate/targetrate.go
+++ b/internal/targetrate/targetrate.go
@@ -68,11 +68,12 @@
 	chosen map[string][]ratelimit.Entry
 	// unreachable holds the times until which allocators are not asked. Guarded by mu.
 	unreachable map[string]time.Duration
-	// lastWanted holds the time of the last request that wanted a token of a target in the background. Guarded by mu.
+	// lastWanted holds the time of the last request that wanted a token of a target in the background.
+	// Guarded by mu.
 	lastWanted map[string]time.Duration
 	// asking holds the targets for which a request for tokens runs in the background. Guarded by mu.
 	asking map[string]bool
-	// attempts counts the attempts since the last call of LogAttempts, by target and cause. Guarded by
+	// attempts counts the attempts since the last call of Maintain, by target and cause. Guarded by
 	// mu.
 	attempts map[string]map[string]int
 }
@@ -99,7 +100,7 @@
 // RecordReply records what a reply to a request sent at the given time states about the limit of its
 // target. complete is set if a reply without a statement proves that the target has no limit.
 func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, complete bool) {
-	if !rate.Stated && (!complete || l.limited.Load() == 0) {
+	if !rate.Stated && (!complete || !l.Active()) {
 		return
 	}
 	now := l.cfg.Clock()
@@ -171,12 +172,12 @@
 
 // CountAttempt counts an attempt that is sent to a target, if the target has a limit.
 func (l *Limiter) CountAttempt(target, cause string) {
-	if l.limited.Load() == 0 {
+	if !l.Active() {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, limited := l.announcements.Limit(target); !limited {
+	if !l.isLimited(target) {
 		return
 	}
 	l.cfg.Metrics.Attempts.Add(cause, 1)
@@ -201,9 +202,6 @@
 // Maintain removes expired state and logs, for each target with a limit, the attempts since the last
 // call by cause. It is called periodically.
 func (l *Limiter) Maintain() {
-	if l.limited.Load() == 0 {
-		return
-	}
 	l.mu.Lock()
 	l.expire(l.cfg.Clock())
 	l.limited.Store(int64(l.announcements.Limited()))
