Share the incarnation type, and bound what limits cost without targets

Cause: ratelimit repeated notice.Target; the attempts to limited targets took a log line for each target and second, which could crowd out other lines about targets; the fleet of allocators was rebuilt every 100 ms also while no target had a limit. Change: ratelimit uses notice.Target; one line a second names all targets; the fleet is updated every second, and every 100 ms only while a target has a limit.

--- a/coordination/notice/holdoff.go
+++ b/coordination/notice/holdoff.go
@@ -28,7 +28,7 @@
 		return before.until
 	}
 	until := now + min(length, MaxHoldOff)
-	if known && sameIncarnation(before.started, t.Started) {
+	if known && SameIncarnation(before.started, t.Started) {
 		until = max(until, before.until)
 	}
 	h.holdOffs[t.ID] = holdOff{t.Started, until}
@@ -39,7 +39,7 @@
 // current list to their start times.
 func (h *HoldOffs) SetListed(listed map[string]int64) {
 	for id, held := range h.holdOffs {
-		if started, ok := listed[id]; ok && !sameIncarnation(started, held.started) {
+		if started, ok := listed[id]; ok && !SameIncarnation(started, held.started) {
 			delete(h.holdOffs, id)
 		}
 	}
--- a/coordination/notice/leaving.go
+++ b/coordination/notice/leaving.go
@@ -24,9 +24,9 @@
 	Started int64
 }
 
-// sameIncarnation reports whether two start times may belong to one incarnation. An unknown start
+// SameIncarnation reports whether two start times may belong to one incarnation. An unknown start
 // time matches every other.
-func sameIncarnation(a, b int64) bool { return a == b || a == 0 || b == 0 }
+func SameIncarnation(a, b int64) bool { return a == b || a == 0 || b == 0 }
 
 // Report describes a leaving target to another entry.
 type Report struct {
@@ -63,7 +63,7 @@
 	for id, m := range l.marks {
 		started, ok := listed[id]
 		switch {
-		case ok && !sameIncarnation(started, m.started):
+		case ok && !SameIncarnation(started, m.started):
 			delete(l.marks, id)
 		case !ok && m.stated:
 			if _, before := l.listed[id]; before || m.until == 0 {
@@ -82,7 +82,7 @@
 		t.Started = l.listed[t.ID]
 	}
 	before, known := l.marks[t.ID]
-	if known && before.stated && sameIncarnation(before.started, t.Started) || !l.canMark(t) {
+	if known && before.stated && SameIncarnation(before.started, t.Started) || !l.canMark(t) {
 		return false
 	}
 	l.marks[t.ID] = mark{started: t.Started, stated: true}
@@ -106,7 +106,7 @@
 // canMark reports whether a target can be marked: its incarnation was not replaced by another, and
 // the set is not full.
 func (l *Leaving) canMark(t Target) bool {
-	if started, listed := l.listed[t.ID]; listed && !sameIncarnation(started, t.Started) {
+	if started, listed := l.listed[t.ID]; listed && !SameIncarnation(started, t.Started) {
 		return false
 	}
 	_, known := l.marks[t.ID]
--- a/coordination/ratelimit/announcements.go
+++ b/coordination/ratelimit/announcements.go
@@ -10,6 +10,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/notice"
 )
 
 const (
@@ -28,20 +30,9 @@
 	changedFraction = 0.1
 )
 
-// Target identifies one incarnation of a target.
-type Target struct {
-	ID string
-	// Started is the Unix time of its start in milliseconds, or zero if not known.
-	Started int64
-}
-
-// sameIncarnation reports whether two start times may belong to one incarnation. An unknown start
-// time matches every other.
-func sameIncarnation(a, b int64) bool { return a == b || a == 0 || b == 0 }
-
 // Announcement is what a target last stated about its limit.
 type Announcement struct {
-	Target
+	notice.Target
 	// Limited is set if the target stated a limit, PerSecond is that limit in requests per second.
 	// Without it the target ended an earlier limit.
 	Limited   bool
@@ -77,7 +68,7 @@
 func (a *Announcements) SetListed(listed map[string]int64) {
 	a.listed = listed
 	for id, s := range a.known {
-		if started, ok := listed[id]; ok && !sameIncarnation(started, s.started) {
+		if started, ok := listed[id]; ok && !notice.SameIncarnation(started, s.started) {
 			a.remove(id)
 		}
 	}
@@ -105,7 +96,7 @@
 	before, known := a.known[r.ID]
 	started, listed := a.listed[r.ID]
 	at := now - r.Age
-	if listed && !sameIncarnation(started, r.Started) || known && at <= before.at || !known && !r.Limited || !(r.PerSecond >= 0) || r.PerSecond > maxPerSecond || r.Age < 0 || r.Age >= retention {
+	if listed && !notice.SameIncarnation(started, r.Started) || known && at <= before.at || !known && !r.Limited || !(r.PerSecond >= 0) || r.PerSecond > maxPerSecond || r.Age < 0 || r.Age >= retention {
 		return false
 	}
 	return a.set(r.ID, statement{started: cmp.Or(r.Started, started), limited: r.Limited, perSecond: r.PerSecond, at: at})
@@ -158,7 +149,7 @@
 // Announcement returns what is known about a target, and false if nothing is.
 func (a *Announcements) Announcement(id string, now time.Duration) (Announcement, bool) {
 	s, known := a.known[id]
-	return Announcement{Target: Target{id, s.started}, Limited: s.limited, PerSecond: s.perSecond, Age: max(now-s.at, 0)}, known
+	return Announcement{Target: notice.Target{ID: id, Started: s.started}, Limited: s.limited, PerSecond: s.perSecond, Age: max(now-s.at, 0)}, known
 }
 
 // Reports returns the announcements for peers, the newest first. It includes limits that ended
--- a/coordination/ratelimit/announcements_test.go
+++ b/coordination/ratelimit/announcements_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 )
 
@@ -35,14 +36,14 @@
 					limited, newest = false, now
 				}
 			case 2:
-				r := ratelimit.Announcement{Target: ratelimit.Target{ID: "t", Started: started}, Limited: rapid.Bool().Draw(t, "limited"),
+				r := ratelimit.Announcement{Target: notice.Target{ID: "t", Started: started}, Limited: rapid.Bool().Draw(t, "limited"),
 					PerSecond: 3, Age: time.Duration(rapid.IntRange(0, 8000).Draw(t, "age")) * time.Millisecond}
 				a.Merge(r, now)
 				if at := now - r.Age; at > newest && (newest >= 0 || r.Limited) {
 					limited, perSecond, newest = r.Limited, r.PerSecond, at
 				}
 			case 3:
-				a.Merge(ratelimit.Announcement{Target: ratelimit.Target{ID: "t", Started: started + 1}, Limited: true, PerSecond: 1}, now)
+				a.Merge(ratelimit.Announcement{Target: notice.Target{ID: "t", Started: started + 1}, Limited: true, PerSecond: 1}, now)
 			case 4:
 				a.SetListed(nil) // The list expires and is restored.
 				a.SetListed(map[string]int64{"t": started})
@@ -71,7 +72,7 @@
 		is.True(!a.Merge(r, now))
 	}
 	for i := range 20_000 {
-		a.Merge(ratelimit.Announcement{Target: ratelimit.Target{ID: fmt.Sprint(i)}, Limited: true}, now)
+		a.Merge(ratelimit.Announcement{Target: notice.Target{ID: fmt.Sprint(i)}, Limited: true}, now)
 	}
 	is.True(a.Limited() < 10_000)
 	a.Expire(now + time.Hour)
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -146,7 +146,9 @@
 	})
 	d.wireSync(deps.Documents)
 	d.core.SetPeers(peerNames(d.syncer))
-	d.relay.SetFleet(d.fleet())
+	fleet := d.fleet()
+	d.relay.SetFleet(fleet)
+	d.core.RateLimits().SetFleet(d.allocatorFleet(fleet.Entries))
 	return d, d.wireServers(deps)
 }
 
@@ -274,10 +276,14 @@
 		case <-tick.C:
 			d.core.ExpireNotices()
 			d.core.SetPeers(peerNames(d.syncer))
+			fleet := d.fleet()
+			d.core.RateLimits().SetFleet(d.allocatorFleet(fleet.Entries))
 		case <-readiness.C:
 			fleet := d.fleet()
 			d.relay.SetFleet(fleet)
-			d.core.RateLimits().SetFleet(d.allocatorFleet(fleet.Entries))
+			if d.core.RateLimits().Active() {
+				d.core.RateLimits().SetFleet(d.allocatorFleet(fleet.Entries))
+			}
 			d.syncer.SetPinned(sameZoneHomes(&fleet))
 			d.syncer.SetPartitioned(d.relay.UpdateReadiness(d.otherZoneLastHeard(), d.syncer.ZonePartitionedAt()))
 			if d.self.Clock() < startupPeriod {
--- a/internal/targetrate/allocate.go
+++ b/internal/targetrate/allocate.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 )
@@ -86,7 +87,7 @@
 
 // DecodeAnnouncement converts an announcement from the peer protocol.
 func DecodeAnnouncement(m *peerpb.RateLimit) ratelimit.Announcement {
-	return ratelimit.Announcement{Target: ratelimit.Target{ID: m.Target, Started: m.StartedMs}, Limited: m.Limited,
+	return ratelimit.Announcement{Target: notice.Target{ID: m.Target, Started: m.StartedMs}, Limited: m.Limited,
 		PerSecond: m.PerSecond, Age: time.Duration(m.AgeMs) * time.Millisecond}
 }
 
--- a/internal/targetrate/targetrate.go
+++ b/internal/targetrate/targetrate.go
@@ -6,12 +6,14 @@
 	"context"
 	"expvar"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/requestrate"
@@ -98,9 +100,9 @@
 func (l *Limiter) Active() bool { return l.limited.Load() > 0 }
 
 // RecordReply records what a reply to a request sent at the given time states about the limit of its
-// target. complete is set if a reply without a statement proves that the target has no limit.
-func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, complete bool) {
-	if !rate.Stated && (!complete || !l.Active()) {
+// target. conclusive is set if a reply without a statement proves that the target has no limit.
+func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, conclusive bool) {
+	if !rate.Stated && (!conclusive || !l.Active()) {
 		return
 	}
 	now := l.cfg.Clock()
@@ -114,7 +116,7 @@
 	l.limited.Store(int64(l.announcements.Limited()))
 	l.mu.Unlock()
 	if isNews {
-		l.announce(ratelimit.Announcement{Target: ratelimit.Target{ID: target}, Limited: rate.Stated, PerSecond: rate.PerSecond}, requestID, "")
+		l.announce(ratelimit.Announcement{Target: notice.Target{ID: target}, Limited: rate.Stated, PerSecond: rate.PerSecond}, requestID, "")
 	}
 }
 
@@ -199,7 +201,10 @@
 	maps.DeleteFunc(l.unreachable, func(_ string, until time.Duration) bool { return now >= until })
 }
 
-// Maintain removes expired state and logs, for each target with a limit, the attempts since the last
+// maxLoggedTargets limits the targets in one log line.
+const maxLoggedTargets = 32
+
+// Maintain removes expired state and logs, for the targets with a limit, the attempts since the last
 // call by cause. It is called periodically.
 func (l *Limiter) Maintain() {
 	l.mu.Lock()
@@ -212,7 +217,13 @@
 		limits[target], _ = l.announcements.Limit(target)
 	}
 	l.mu.Unlock()
-	for target, byCause := range attempts {
-		l.cfg.Log.Info().Str("target", target).Float64("limit_per_s", limits[target]).Interface("attempts", byCause).Msg("attempts to a target with a rate limit")
+	if len(attempts) == 0 {
+		return
+	}
+	targets := slices.Sorted(maps.Keys(attempts))
+	dict := zerolog.Dict()
+	for _, target := range targets[:min(len(targets), maxLoggedTargets)] {
+		dict.Dict(target, zerolog.Dict().Float64("limit_per_s", limits[target]).Interface("attempts", attempts[target]))
 	}
+	l.cfg.Log.Info().Int("limited", len(targets)).Dict("targets", dict).Msg("attempts to targets with rate limits")
 }
