Split the acquisition of tokens, and rewrap two comments

Change: the shards that a request needs get their tokens in a function of their own; comments of MaySend and anyAvailable are brought to the line length. No behaviour, bound or assertion changes.

--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -150,9 +150,8 @@
 }
 
 // MaySend returns an error with the outcome NotRun if the target must get no new work, or if its rate
-// limit allows no more. It is called
-// when an attempt has obtained its connection, because the target may have stopped accepting work
-// while the attempt waited.
+// limit allows no more. It is called when an attempt has obtained its connection, because the target
+// may have stopped accepting work, or announced a limit, while the attempt waited.
 func (e *Engine) MaySend(target string) error {
 	if e.notices.blocked(target, e.self.Clock()) {
 		return status.New(status.NoReplica, status.NotRun, "target %s gets no new work", target)
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -29,9 +29,9 @@
 	start(req *Request, shard int, target string) attemptToken
 	// hasCapacity reports whether the shard can take another sub-request.
 	hasCapacity(req *Request, shard int) bool
-	// anyAvailable reports whether any of the targets of a shard may answer: it accepts new work, has not just
-	// refused a connection, its zone is reachable and its rate limit allows the request. Otherwise it
-	// returns the time until one may get work again, zero if unknown.
+	// anyAvailable reports whether any of the targets of a shard may answer: it accepts new work, has
+	// not just refused a connection, its zone is reachable and its rate limit allows the request.
+	// Otherwise it returns the time until one may get work again, zero if unknown.
 	anyAvailable(req *Request, shard int, targets []string) (wait time.Duration, ok bool)
 	// finish records the end of an attempt. connRefused tells whether the target refused the
 	// connection.
--- a/internal/targetrate/acquire.go
+++ b/internal/targetrate/acquire.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
@@ -80,18 +81,10 @@
 	for missing > 0 && len(limited) > 0 && ctx.Err() == nil {
 		needed := limited[:min(missing, len(limited))]
 		limited = limited[len(needed):]
-		granted := make([]bool, len(needed))
-		var running sync.WaitGroup
-		for i, shard := range needed {
+		for _, shard := range needed {
 			ranks[shard] = d.Priority
-			running.Go(func() { granted[i] = l.acquire(ctx, d.Shards[shard], d.Priority, patience) })
-		}
-		running.Wait()
-		for _, ok := range granted {
-			if ok {
-				missing--
-			}
 		}
+		missing -= l.acquireAll(ctx, d, needed, patience)
 	}
 	for shard, targets := range d.Shards {
 		if ranks[shard] == 0 {
@@ -102,6 +95,22 @@
 	return ranks
 }
 
+// acquireAll acquires a token for each of the given shards at the same time, and returns for how many
+// it got one.
+func (l *Limiter) acquireAll(ctx context.Context, d Demand, shards []int, patience time.Duration) int {
+	var acquired atomic.Int64
+	var running sync.WaitGroup
+	for _, shard := range shards {
+		running.Go(func() {
+			if l.acquire(ctx, d.Shards[shard], d.Priority, patience) {
+				acquired.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	return int(acquired.Load())
+}
+
 // classify returns the shards that have a target without a limit, and those all of whose targets have
 // one.
 func (l *Limiter) classify(shards [][]string) (open, limited []int) {
