Log the era of the platform's store and discarded reads

Cause: logs could not tell a store that was restored from a backup from one that forgot its history: both answer 410, and a discarded full read left no line. Change: the store's client reads the era that every response states, errors included. The feed logs a new era with the revision it had reached, and each full read that it discards.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -30,7 +30,7 @@
 
 // Source is a client of the platform's metadata store. Its errors are of type *status.Error.
 type Source interface {
-	// Read returns the published state. stale permits an older state at a lower cost. The parts of
+	// Read returns the published state. The era is set even if the call fails with a response. stale permits an older state at a lower cost. The parts of
 	// the state are not read at the same revision; State.ResumeRevision is the earliest of their
 	// revisions.
 	Read(ctx context.Context, stale bool) (published.State, error)
@@ -53,6 +53,8 @@
 	loadedAt time.Time
 	// changedAt is the time at which a watch last returned changes. Guarded by mu.
 	changedAt time.Time
+	// era is the latest era that the source has stated. Guarded by mu.
+	era uint64
 }
 
 // New returns a feed that has not read anything yet.
@@ -147,13 +149,27 @@
 	return err
 }
 
+// recordEra records the era that a response of the source states.
+func (f *Feed) recordEra(era uint64) {
+	f.mu.Lock()
+	before, at := f.era, f.state.ResumeRevision
+	f.era = max(before, era)
+	f.mu.Unlock()
+	if era > before && before > 0 {
+		f.log.Warn().Uint64("era", era).Uint64("previous_era", before).Uint64("at", at).
+			Msg("the platform's store was restored from a backup; its revisions start again at an earlier one")
+	}
+}
+
 // loadState reads the full state and the changes since.
 func (f *Feed) loadState(ctx context.Context, stale bool) error {
 	next, err := f.source.Read(ctx, stale)
+	f.recordEra(next.Era)
 	if err != nil {
 		return err
 	}
 	changes, err := f.source.Watch(ctx, next.ResumeRevision, 0)
+	f.recordEra(changes.Era)
 	if err != nil {
 		return err
 	}
@@ -162,7 +178,9 @@
 	defer f.mu.Unlock()
 	f.loadedAt = time.Now()
 	if next.ResumeRevision < f.state.ResumeRevision {
-		return nil // A concurrent watch has returned a newer state.
+		f.log.Info().Uint64("read_at", next.ResumeRevision).Uint64("at", f.state.ResumeRevision).
+			Msg("full state discarded: a concurrent watch has returned a newer one")
+		return nil
 	}
 	if maps.Equal(next.Targets, f.state.Targets) {
 		next.TargetsRevision = f.state.TargetsRevision
@@ -178,6 +196,7 @@
 	f.mu.Unlock()
 	sleep(ctx, pause)
 	changes, err := f.source.Watch(ctx, at, wait)
+	f.recordEra(changes.Era)
 	if status.CodeOf(err) == status.RevisionTooOld {
 		f.log.Info().Uint64("at", at).Msg("store no longer has the change history; reloading the full state")
 		return f.load(ctx)
--- a/protocol/published/published.go
+++ b/protocol/published/published.go
@@ -20,6 +20,9 @@
 
 // State is the published data at one point in time.
 type State struct {
+	// Era counts the restores of the platform's store from a backup. A restore resets the revision
+	// counter, so revisions of different eras cannot be compared. It is zero if unknown.
+	Era uint64
 	// ResumeRevision is the revision after which to watch for changes.
 	ResumeRevision uint64
 	Sheet          Sheet
@@ -31,6 +34,8 @@
 
 // Changes holds the changes after a revision.
 type Changes struct {
+	// Era is the era of the store that ResumeRevision belongs to; see State.
+	Era uint64
 	// ResumeRevision is the revision after which to watch for further changes.
 	ResumeRevision uint64
 	// Sheet is the latest sheet, or nil if it did not change.
--- a/transport/platformhttp/reader.go
+++ b/transport/platformhttp/reader.go
@@ -65,9 +65,22 @@
 }
 
 // Read calls path, which may have a query, and decodes a response of at most limit bytes into out.
-// The call may take longer than the timeout by wait. Status 410 returns RevisionTooOld.
-func (r *Reader) Read(ctx context.Context, path string, wait time.Duration, limit int64, out any) error {
-	return r.call(ctx, path, wait, &jsonReply{out: out, limit: limit})
+// The call may take longer than the timeout by wait. Status 410 returns RevisionTooOld. The header is
+// that of the response, also if the response is an error, and nil without a response.
+func (r *Reader) Read(ctx context.Context, path string, wait time.Duration, limit int64, out any) (http.Header, error) {
+	var header http.Header
+	err := r.call(context.WithValue(ctx, headerKey{}, &header), path, wait, &jsonReply{out: out, limit: limit})
+	return header, err
+}
+
+// headerKey is the context key of the *http.Header that receives the header of a response.
+type headerKey struct{}
+
+// recordHeader stores the header of a response for the caller of Read.
+func recordHeader(ctx context.Context, res *http.Response) {
+	if header, ok := ctx.Value(headerKey{}).(*http.Header); ok {
+		*header = res.Header
+	}
 }
 
 // jsonReply decodes a JSON response of at most limit bytes into out.
@@ -128,8 +141,10 @@
 	return out.(replyDecoder).decode(res)
 }
 
-// decodeError is the error decoder of the kratos client. It returns nil for a status of 2xx.
-func decodeError(_ context.Context, res *http.Response) error {
+// decodeError is the error decoder of the kratos client, which calls it for every response. It returns
+// nil for a status of 2xx.
+func decodeError(ctx context.Context, res *http.Response) error {
+	recordHeader(ctx, res)
 	if res.StatusCode >= 200 && res.StatusCode <= 299 {
 		return nil
 	}
