Reconcile the target list of a restored store with the one before

Cause: the list of a restored store is older: it lacks targets that have started since the backup until they register again, and names targets that have left until their registrations expire. An entry that takes it as it is loses the first and sends new work to the second. Lists within an era are used unchanged.

--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,6 +35,9 @@
 	// SheetRevision and IndexRevision are the current revisions, zero until both documents are
 	// known.
 	SheetRevision, IndexRevision expvar.Int
+	// StoreEra is the era of the target list: the number of restores of the platform's store from a
+	// backup, counted by the store.
+	StoreEra expvar.Int
 	// TargetsRevision is the current revision of the target list of relayed services.
 	TargetsRevision expvar.Int
 }
@@ -73,6 +76,7 @@
 	vars.Set("platform_failures_total", &m.PlatformFailures)
 	vars.Set("sheet_revision", &m.SheetRevision)
 	vars.Set("index_revision", &m.IndexRevision)
+	vars.Set("store_era", &m.StoreEra)
 	vars.Set("targets_revision", &m.TargetsRevision)
 	vars.Set("violations_total", &m.Violations)
 }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -12,7 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/coordination/homes"
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
+	"github.com/balsamstall/balsamstall/coordination/restore"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/engine"
@@ -31,6 +33,8 @@
 )
 
 const (
+	// platformActor names the platform as the origin of facts about targets.
+	platformActor = "platform"
 	// seedPrefix starts the placeholder id of an entry that is known only by its address.
 	seedPrefix = "seed@"
 	// relayWatchWait is the maximum duration of a watch call to the platform. A watch may miss a
@@ -101,6 +105,9 @@
 	homeSettings homes.Settings
 	syncer       *configsync.Syncer
 	app          *kratos.App
+	targetLists  targetLists
+	// changeMu serializes onChange.
+	changeMu sync.Mutex
 	// drainOnce prevents a second stop signal from repeating the shutdown.
 	drainOnce sync.Once
 }
@@ -144,6 +151,13 @@
 		Homes:   d.pool,
 		CatchUp: func(entry string) { d.syncer.CatchUp(entry) },
 	})
+	d.targetLists = targetLists{
+		self:       d.self,
+		log:        d.log,
+		report:     func(r notice.Report) { d.core.MergeLeavingReport(platformActor, r) },
+		recheck:    d.onChange,
+		reconciler: restore.New(restore.DefaultSettings()),
+	}
 	d.wireSync(deps.Documents)
 	d.core.SetPeers(peerNames(d.syncer))
 	fleet := d.fleet()
@@ -187,7 +201,7 @@
 		CheckSheet:    checkSheet,
 		CheckTargets:  (*targetlist.Document).Validate,
 		OnReadFailure: func(key string) { d.metrics.PlatformFailures.Add(key, 1) },
-		OnChange:      d.onChange,
+		OnChange:      func(*configsync.View) { d.onChange() },
 	})
 }
 
@@ -202,13 +216,17 @@
 	return peers
 }
 
-// onChange makes the relay use new documents once both are known.
-func (d *RelayDaemon) onChange(v *configsync.View) {
+// onChange makes the relay use the current documents once both are known.
+func (d *RelayDaemon) onChange() {
+	d.changeMu.Lock()
+	defer d.changeMu.Unlock()
+	v := d.syncer.Current()
 	if v.Sheet == nil || v.Targets == nil {
 		return
 	}
-	d.relay.SetDocuments(v.Sheet, v.Targets)
+	d.relay.SetDocuments(v.Sheet, d.targetLists.apply(v.Targets))
 	d.metrics.SheetRevision.Set(int64(v.Sheet.Revision))
+	d.metrics.StoreEra.Set(int64(v.Targets.Era))
 	d.metrics.TargetsRevision.Set(int64(v.Targets.Revision))
 }
 
