Detect that an entry reaches no target although its peers do

Cause: when an entry fails its requests, logs do not tell whether its targets are in trouble or the entry is partitioned from all of them: each target, then each zone, is found unreachable by itself, and requests are refused as overloaded. Change: coordination/detached decides when to check, and from the result whether the entry is detached. A check opens connections to targets that peers have just heard from, which the peers tell in the new call Reached. The verdict is logged, exported as the metric detached, and told to peers with the exchange.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -78,6 +78,8 @@
 	Incarnation ids.Incarnation
 	// Draining is set during a graceful shutdown of the entry.
 	Draining bool
+	// Detached is set while the entry reaches no target.
+	Detached bool
 	// Capacity is the CPU capacity of the entry's host in thousandths of a core, or zero if it is
 	// not known.
 	Capacity uint32
@@ -155,6 +157,9 @@
 // SetDraining marks this entry as draining. A draining entry is not a watcher.
 func (t *Table) SetDraining() { t.self.Draining = true }
 
+// SetDetached sets whether this entry reaches no target.
+func (t *Table) SetDetached(detached bool) { t.self.Detached = detached }
+
 // Self returns the entry that owns the table.
 func (t *Table) Self() Entry { return t.self }
 
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -216,6 +216,8 @@
 	Alive bool
 	// Draining reports whether the entry is shutting down gracefully or has yielded the watcher role.
 	Draining bool
+	// Detached reports whether the entry reaches no target.
+	Detached bool
 	// Listed reports whether the settings or the host list contain the entry.
 	Listed bool
 	// LastSeen is the time at which the entry was last known to be alive, or zero if never.
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -66,6 +66,7 @@
 		CutOff:      s.partitioned,
 		UptimeMs:    now.Sub(s.started).Milliseconds(),
 		Capacity:    self.Capacity,
+		Detached:    self.Detached,
 		Quarantines: sampleFacts(s.rng, facts.Quarantines),
 		Crashes:     sampleFacts(s.rng, facts.Crashes),
 		Leaving:     sampleFacts(s.rng, facts.Leaving),
@@ -87,7 +88,7 @@
 	}
 	for _, member := range sample(now, s.rng) {
 		m.Members = append(m.Members, &peerpb.Member{Entry: member.ID, Zone: member.Zone, Address: member.Address,
-			Incarnation: member.Incarnation[:], Draining: member.Draining, AgeMs: now.Sub(member.LastSeen).Milliseconds(), Capacity: member.Capacity})
+			Incarnation: member.Incarnation[:], Draining: member.Draining, AgeMs: now.Sub(member.LastSeen).Milliseconds(), Capacity: member.Capacity, Detached: member.Detached})
 	}
 	return m
 }
@@ -117,6 +118,7 @@
 	GetCutOff() bool
 	GetUptimeMs() int64
 	GetCapacity() uint32
+	GetDetached() bool
 	GetDocuments() []*peerpb.DocumentInfo
 	GetMembers() []*peerpb.Member
 	GetQuarantines() []*peerpb.Quarantine
@@ -176,10 +178,11 @@
 	GetAddress() string
 	GetDraining() bool
 	GetCapacity() uint32
+	GetDetached() bool
 }
 
 func entryFrom(m entryInfo) membership.Entry {
-	e := membership.Entry{ID: m.GetEntry(), Zone: m.GetZone(), Address: m.GetAddress(), Draining: m.GetDraining(), Capacity: m.GetCapacity()}
+	e := membership.Entry{ID: m.GetEntry(), Zone: m.GetZone(), Address: m.GetAddress(), Draining: m.GetDraining(), Detached: m.GetDetached(), Capacity: m.GetCapacity()}
 	if len(m.GetIncarnation()) == ids.IncarnationSize {
 		e.Incarnation = ids.Incarnation(m.GetIncarnation())
 	}
@@ -216,7 +219,7 @@
 	m := s.message(!push, bootstrap)
 	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
 		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
-		Successions: m.Successions, Failing: m.Failing, RateLimits: m.RateLimits, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Capacity: m.Capacity, Address: m.Address, Members: m.Members}, nil
+		Successions: m.Successions, Failing: m.Failing, RateLimits: m.RateLimits, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Capacity: m.Capacity, Detached: m.Detached, Address: m.Address, Members: m.Members}, nil
 }
 
 // exchange sends this entry's state to a peer and processes the state that the peer returns. It
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -146,7 +146,7 @@
 	members := make([]Member, len(known))
 	for i, m := range known {
 		members[i] = Member{Entry: m.ID, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation,
-			Alive: m.Alive, Draining: m.Draining, Listed: m.Listed, LastSeen: m.LastSeen, Capacity: m.Capacity}
+			Alive: m.Alive, Draining: m.Draining, Detached: m.Detached, Listed: m.Listed, LastSeen: m.LastSeen, Capacity: m.Capacity}
 	}
 	return members
 }
@@ -215,6 +215,19 @@
 	}
 }
 
+// SetDetached sets whether this entry reports to its peers that it reaches no target. A change is
+// pushed immediately.
+func (s *Syncer) SetDetached(detached bool) {
+	s.mu.Lock()
+	changed := s.table.Self().Detached != detached
+	s.table.SetDetached(detached)
+	s.mu.Unlock()
+	if changed {
+		s.NotifyPeers()
+		signal(s.zoneSignal)
+	}
+}
+
 // SetPinned sets the entries whose member records every exchange carries.
 func (s *Syncer) SetPinned(entries []string) {
 	s.mu.Lock()
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -166,6 +166,7 @@
 	if answered := err == nil || mayHaveAnswered(err); answered || mayBeUnanswered(err) {
 		e.recordZoneResult(a.Target, answered, start)
 	}
+	e.recordAttachment(a.Target, err, start)
 	e.recordAttemptError(a.Target, req.ID, err)
 	e.recordBrokenAttempt(a.Target, req.ID, err)
 	return reply, err
--- /dev/null
+++ b/internal/engine/detached.go
@@ -0,0 +1,242 @@
+package engine
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/detached"
+)
+
+const (
+	// maxReachedTargets limits the targets that RecentlyReached returns.
+	maxReachedTargets = 8
+	// reachedWithin is the maximum age of the replies that RecentlyReached reports.
+	reachedWithin = time.Second
+	// reachedTimeout limits the question to peers which targets they have reached.
+	reachedTimeout = 200 * time.Millisecond
+	// detachedProbeTimeout limits a connection attempt to a target that a peer has reached.
+	detachedProbeTimeout = 250 * time.Millisecond
+	// detachedProbeInterval is the minimum time between the starts of two probes of a detached entry.
+	detachedProbeInterval = 200 * time.Millisecond
+	// candidatesPeriod is the time for which a detached entry probes the same candidates.
+	candidatesPeriod = time.Second
+)
+
+// attachment tracks whether this entry reaches the targets. It is safe for concurrent use.
+type attachment struct {
+	detached atomic.Bool
+
+	mu sync.Mutex
+	// detector is guarded by mu.
+	detector *detached.Detector
+	// reached holds the last targets that replied, and next the position of the next one. Guarded by
+	// mu.
+	reached [maxReachedTargets]reachedTarget
+	next    int
+	// targets holds the ids of the known targets. Guarded by mu.
+	targets map[string]bool
+}
+
+// reachedTarget is a target and the time of its last reply.
+type reachedTarget struct {
+	target string
+	at     time.Duration
+}
+
+func newAttachment() *attachment {
+	return &attachment{detector: detached.New(detached.DefaultSettings())}
+}
+
+// setTargets replaces the known targets.
+func (a *attachment) setTargets(targets []CatalogueTarget) {
+	known := make(map[string]bool, len(targets))
+	for i := range targets {
+		known[targets[i].ID] = true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.targets = known
+}
+
+func (a *attachment) recordReply(target string, now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.detector.RecordReply(now)
+	for i := range a.reached {
+		if a.reached[i].target == target {
+			a.reached[i].at = now
+			return
+		}
+	}
+	a.reached[a.next] = reachedTarget{target, now}
+	a.next = (a.next + 1) % len(a.reached)
+}
+
+// recordFailure records an attempt without a reply, and reports whether to check now whether targets
+// can be reached. refused is set if no connection could be opened.
+func (a *attachment) recordFailure(target string, refused bool, started, now time.Duration) (check bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if refused {
+		a.detector.RecordRefused(now, target)
+	} else {
+		a.detector.RecordUnanswered(now, started, target)
+	}
+	return a.detector.StartCheck(now)
+}
+
+// Detached reports whether this entry reaches no target although its peers do.
+func (e *Engine) Detached() bool { return e.attachment.detached.Load() }
+
+// MayBeDetached reports whether this entry is detached, or attempts at so many targets have failed
+// that it may be.
+func (e *Engine) MayBeDetached() bool {
+	if e.Detached() {
+		return true
+	}
+	e.attachment.mu.Lock()
+	defer e.attachment.mu.Unlock()
+	return e.attachment.detector.Suspected(e.self.Clock())
+}
+
+// RecentlyReached returns targets that have replied to this entry within a second.
+func (e *Engine) RecentlyReached() []string {
+	if e.Detached() {
+		return nil
+	}
+	now := e.self.Clock()
+	e.attachment.mu.Lock()
+	defer e.attachment.mu.Unlock()
+	var targets []string
+	for _, r := range e.attachment.reached {
+		if r.target != "" && now-r.at <= reachedWithin {
+			targets = append(targets, r.target)
+		}
+	}
+	return targets
+}
+
+// recordAttachment records the end of an attempt as evidence whether this entry reaches the targets.
+func (e *Engine) recordAttachment(target string, err error, started time.Duration) {
+	now := e.self.Clock()
+	switch {
+	case err == nil || mayHaveAnswered(err):
+		e.attachment.recordReply(target, now)
+	case mayBeUnanswered(err):
+		if e.attachment.recordFailure(target, connectionRefused(err), started, now) {
+			go e.checkAttachment()
+		}
+	}
+}
+
+// checkAttachment opens connections to targets that peers have just reached. This entry is detached
+// if none can be opened.
+func (e *Engine) checkAttachment() {
+	candidates := e.reachedByPeers()
+	reached := e.countReachable(candidates)
+	e.attachment.mu.Lock()
+	isDetached := e.attachment.detector.FinishCheck(e.self.Clock(), len(candidates), reached)
+	e.attachment.mu.Unlock()
+	e.log.Info().Int("candidates", len(candidates)).Int("reached", reached).Bool("detached", isDetached).
+		Msg("checked whether this entry reaches the targets that its peers reach")
+	if isDetached {
+		e.setDetached(true)
+		e.awaitAttachment()
+	}
+}
+
+// reachedByPeers returns known targets that peers have just reached.
+func (e *Engine) reachedByPeers() []string {
+	ctx, cancel := context.WithTimeout(context.Background(), reachedTimeout)
+	defer cancel()
+	reached := e.reachedTargets(ctx)
+	e.attachment.mu.Lock()
+	var known []string
+	for _, target := range reached {
+		if e.attachment.targets[target] {
+			known = append(known, target)
+		}
+	}
+	e.attachment.mu.Unlock()
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	return known[:min(len(known), maxReachedTargets)]
+}
+
+// countReachable returns the number of targets to which a connection can be opened. It tries the others
+// only if the first one fails.
+func (e *Engine) countReachable(targets []string) int {
+	if len(targets) == 0 {
+		return 0
+	}
+	if e.probeTarget(targets[0]) {
+		return 1
+	}
+	targets = targets[1:]
+	var reached atomic.Int64
+	var probes sync.WaitGroup
+	for _, target := range targets {
+		probes.Go(func() {
+			if e.probeTarget(target) {
+				reached.Add(1)
+			}
+		})
+	}
+	probes.Wait()
+	return int(reached.Load())
+}
+
+func (e *Engine) probeTarget(target string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), detachedProbeTimeout)
+	defer cancel()
+	return e.targets.Reachable(ctx, target)
+}
+
+// awaitAttachment probes a target at a time until this entry reaches the targets again.
+func (e *Engine) awaitAttachment() {
+	var candidates []string
+	var askedAt time.Time
+	for {
+		start := time.Now()
+		if time.Since(askedAt) > candidatesPeriod {
+			if fresh := e.reachedByPeers(); len(fresh) > 0 {
+				candidates = fresh
+			}
+			askedAt = start
+		}
+		if len(candidates) > 0 {
+			reached := e.probeTarget(candidates[rand.IntN(len(candidates))])
+			e.attachment.mu.Lock()
+			attached := e.attachment.detector.RecordProbe(e.self.Clock(), reached)
+			e.attachment.mu.Unlock()
+			if attached {
+				e.setDetached(false)
+				return
+			}
+		}
+		time.Sleep(max(detachedProbeInterval-time.Since(start), 0))
+	}
+}
+
+// setDetached applies a change of Detached.
+func (e *Engine) setDetached(isDetached bool) {
+	e.attachment.detached.Store(isDetached)
+	if isDetached {
+		e.metrics.Detached.Set(1)
+		e.log.Warn().Msg("this entry reaches no target although its peers do; they serve its requests")
+	} else {
+		e.metrics.Detached.Set(0)
+		e.targets.DropIdle()
+		e.attachment.mu.Lock()
+		targets := slices.Collect(maps.Keys(e.attachment.targets))
+		e.attachment.mu.Unlock()
+		e.policy.resetStats(targets)
+		e.log.Info().Msg("this entry reaches targets again; it serves its requests itself")
+	}
+	e.onDetached(isDetached)
+	e.notifyPeers()
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -67,6 +67,11 @@
 	// Tokens asks another entry for tokens of targets with a rate limit. It may be nil if there are no
 	// other entries.
 	Tokens func(ctx context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error)
+	// ReachedTargets asks peers for targets that have replied to them within a second. It may be nil
+	// if there are no other entries.
+	ReachedTargets func(ctx context.Context) []string
+	// OnDetached is called when Detached changes. It must not block and may be nil.
+	OnDetached func(detached bool)
 	// Audit may be nil.
 	Audit *audit.Trail
 }
@@ -84,10 +89,14 @@
 	rateLimits  *targetrate.Limiter
 	failing     *failingSet
 	zones       *zoneSet
+	attachment  *attachment
 	notifyPeers func()
-	verify      func()
-	audit       *audit.Trail
-	pause       *pauseGuard
+	// reachedTargets and onDetached are those of Config.
+	reachedTargets func(ctx context.Context) []string
+	onDetached     func(detached bool)
+	verify         func()
+	audit          *audit.Trail
+	pause          *pauseGuard
 	// lateWaiting counts the requests of late callers that wait for capacity.
 	lateWaiting atomic.Int64
 	metrics     *Metrics
@@ -106,6 +115,12 @@
 	if cfg.Verify == nil {
 		cfg.Verify = func() {}
 	}
+	if cfg.ReachedTargets == nil {
+		cfg.ReachedTargets = func(context.Context) []string { return nil }
+	}
+	if cfg.OnDetached == nil {
+		cfg.OnDetached = func(bool) {}
+	}
 	if cfg.Audit == nil {
 		cfg.Audit = audit.New(zerolog.Nop())
 	}
@@ -119,17 +134,22 @@
 		guard = newCrashGuard(cfg.Self, cfg.FingerprintKey)
 	}
 	e := &Engine{
-		self:        cfg.Self,
-		log:         cfg.Log,
-		targets:     cfg.Targets,
-		policy:      p,
-		guard:       guard,
-		isolated:    newIsolatedRuns(cfg.Self.Entry),
-		notices:     notices,
-		rateLimits:  rateLimits,
-		failing:     failing,
-		zones:       zones,
-		metrics:     cfg.Metrics,
+		self:       cfg.Self,
+		log:        cfg.Log,
+		targets:    cfg.Targets,
+		policy:     p,
+		guard:      guard,
+		isolated:   newIsolatedRuns(cfg.Self.Entry),
+		notices:    notices,
+		rateLimits: rateLimits,
+		failing:    failing,
+		zones:      zones,
+		attachment: newAttachment(),
+		metrics:    cfg.Metrics,
+
+		reachedTargets: cfg.ReachedTargets,
+		onDetached:     cfg.OnDetached,
+
 		notifyPeers: cfg.NotifyPeers,
 		verify:      cfg.Verify,
 		audit:       cfg.Audit,
@@ -149,6 +169,7 @@
 	e.rateLimits.SetTargets(startTimes(c.Targets), zones)
 	e.policy.setCatalogue(c)
 	e.isolated.setTargets(c.Targets)
+	e.attachment.setTargets(c.Targets)
 }
 
 // afterPause drops connections and verifies cached state that may be stale after the process was
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -19,6 +19,8 @@
 	LeavingTargets expvar.Int
 	// UnreachableZones counts zones that were detected to be unreachable.
 	UnreachableZones expvar.Int
+	// Detached is 1 while this entry reaches no target although its peers do, and 0 otherwise.
+	Detached expvar.Int
 	// HoldOffs counts refusals in which a target asked for a time without new work.
 	HoldOffs expvar.Int
 	// RateLimits counts the rate limits of targets.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -76,6 +76,7 @@
 	vars.Set("platform_failures_total", &m.PlatformFailures)
 	vars.Set("sheet_revision", &m.SheetRevision)
 	vars.Set("index_revision", &m.IndexRevision)
+	vars.Set("detached", &m.Detached)
 	vars.Set("store_era", &m.StoreEra)
 	vars.Set("targets_revision", &m.TargetsRevision)
 	vars.Set("violations_total", &m.Violations)
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -135,6 +135,8 @@
 		NotifyPeers:           func() { d.syncer.NotifyPeers() },
 		Verify:                func() { d.syncer.Refresh(context.Background()) },
 		Tokens:                d.pool.Tokens,
+		ReachedTargets:        d.reachedTargets,
+		OnDetached:            func(detached bool) { d.syncer.SetDetached(detached) },
 		Audit:                 d.audit,
 	})
 	d.relay = relay.New(relay.Config{
--- a/internal/entry/relaypeers.go
+++ b/internal/entry/relaypeers.go
@@ -32,6 +32,11 @@
 	return h.rateLimits.HandleRequest(in), nil
 }
 
+// Reached returns targets that have recently replied to this entry.
+func (h *relayPeerHandler) Reached(context.Context, *peerpb.ReachedRequest) (*peerpb.ReachedReply, error) {
+	return &peerpb.ReachedReply{Targets: h.relay.RecentlyReached()}, nil
+}
+
 func (h *relayPeerHandler) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
 	return h.syncer.HandleFetch(ctx, in)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -237,6 +237,9 @@
 	return sheet.CallerLimits{}
 }
 
+// RecentlyReached returns targets that have recently replied to this entry.
+func (r *Relay) RecentlyReached() []string { return r.cfg.Engine.RecentlyReached() }
+
 // BeginDrain starts a graceful shutdown: the relay becomes not ready and its answers ask callers to
 // use another connection. Requests are still served.
 func (r *Relay) BeginDrain() { r.draining.Store(true) }
--- a/transport/peerrpc/pool.go
+++ b/transport/peerrpc/pool.go
@@ -130,6 +130,11 @@
 	return call(ctx, p, address, in, peerpb.DRPCPeerClient.Tokens)
 }
 
+// Reached asks the entry at address for targets that have replied to it recently.
+func (p *Pool) Reached(ctx context.Context, address string) (*peerpb.ReachedReply, error) {
+	return call(ctx, p, address, &peerpb.ReachedRequest{}, peerpb.DRPCPeerClient.Reached)
+}
+
 // Handover hands a part of the journal over to the entry at address.
 func (p *Pool) Handover(ctx context.Context, address string, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
 	return call(ctx, p, address, in, peerpb.DRPCPeerClient.Handover)
