--- a/internal/entry/detached.go
+++ b/internal/entry/detached.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/detour"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 )
@@ -27,6 +28,16 @@
 	})
 }
 
+// detourPeers returns the peers that may run requests while this entry reaches no target.
+func detourPeers(s *configsync.Syncer) []detour.Peer {
+	members := attachedPeers(s)
+	peers := make([]detour.Peer, len(members))
+	for i, m := range members {
+		peers[i] = detour.Peer{ID: m.Entry, Address: m.Address, Capacity: m.Capacity}
+	}
+	return peers
+}
+
 // reachedTargets asks random peers, most of them with a large capacity, for targets that have recently
 // replied to them. The entries with the largest capacity have the densest traffic.
 func (d *RelayDaemon) reachedTargets(ctx context.Context) []string {
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -339,7 +339,7 @@
 		}
 	}
 	self := homes.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Capacity: cpuCapacity(d.settings)}
-	fleet := relay.Fleet{Assignment: homes.Assign(d.homeSettings, self, others), OldestStart: d.syncer.OldestPeerStart()}
+	fleet := relay.Fleet{Assignment: homes.Assign(d.homeSettings, self, others), OldestStart: d.syncer.OldestPeerStart(), Peers: detourPeers(d.syncer)}
 	if len(others) == 0 && len(d.settings.Seeds) > 1 {
 		fleet.Entries, fleet.Homes = relay.AssumedFleetSize, relay.AssumedFleetSize
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/balsamstall/balsamstall/coordination/connshare"
 	"github.com/balsamstall/balsamstall/coordination/coverage"
+	"github.com/balsamstall/balsamstall/coordination/detour"
 	"github.com/balsamstall/balsamstall/coordination/homes"
 	"github.com/balsamstall/balsamstall/coordination/readiness"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
@@ -75,6 +76,8 @@
 	homes.Assignment
 	// OldestStart is the start time of the oldest other entry, zero while no other entry is known.
 	OldestStart time.Time
+	// Peers lists the entries that may run requests for this entry while it reaches no target.
+	Peers []detour.Peer
 }
 
 // Relay serves relayed requests. All methods are safe for concurrent use.
