Let peers serve for an entry that reaches no target

Cause: an entry is taken to be able to serve as long as it can be reached. Gathered requests hop to homes only from entries that are not homes, and others never do; each entry of a small fleet is its own home. Change: an entry that reaches no target offers each request to up to three peers that do, one hop: a peer that is detached itself refuses, and a peer never passes the request on. Peers are chosen by requests for their capacity (coordination/detour), homes first for gathered requests. Nothing is sent to a target before the go-ahead, so an offer that fails moves on, and a request whose fate is unknown after it is not sent again. Remaining time, waiting time, notices, aborts and drains use the way of gathered requests; the peer counts repeats, tokens and admission. The reply of one target passes unchanged. If no peer accepts, the request is refused at once. A request that this entry provably did not run while it may be detached is offered too. Detached entries are no homes and no allocators of rate limits.

--- a/coordination/detached/detached.go
+++ b/coordination/detached/detached.go
@@ -44,8 +44,8 @@
 // Detector holds the evidence of one entry. Create it with New.
 type Detector struct {
 	settings Settings
-	// refused and unanswered map targets to the time of their last failed attempt, which was refused
-	// or reset before it was sent, or got no reply.
+	// refused and unanswered map targets to the time of their last failed attempt, whose connection was
+	// refused or reset, or which got no reply.
 	refused, unanswered map[string]time.Duration
 	// repliedAt is the time of the last reply of any target. It is valid only if replied is set.
 	repliedAt time.Duration
@@ -74,7 +74,7 @@
 	clear(d.unanswered)
 }
 
-// RecordRefused records that no connection to a target could be opened.
+// RecordRefused records that a connection to a target could not be opened or was reset.
 func (d *Detector) RecordRefused(now time.Duration, target string) { d.refused[target] = now }
 
 // RecordUnanswered records an attempt that ended without a reply.
--- a/coordination/homes/backoff.go
+++ b/coordination/homes/backoff.go
@@ -7,6 +7,9 @@
 	// each further failure, up to maxFailureBackoff.
 	failureBackoff    = 500 * time.Millisecond
 	maxFailureBackoff = 8 * time.Second
+	// detachedBackoff is the time for which an entry that reaches no target is avoided. News of it
+	// reaches all entries within it.
+	detachedBackoff = time.Second
 	// drainingBackoff is the time for which a draining home is avoided. News of its shutdown
 	// reaches all entries within it.
 	drainingBackoff = 8 * time.Second
@@ -39,6 +42,11 @@
 	b.set(id, backoffState{failures: failures + 1, until: now + pause})
 }
 
+// RecordDetached starts the backoff of an entry that reaches no target.
+func (b *Backoff) RecordDetached(now time.Duration, id string) {
+	b.set(id, backoffState{until: now + detachedBackoff})
+}
+
 // RecordDraining starts the backoff of a draining home.
 func (b *Backoff) RecordDraining(now time.Duration, id string) {
 	b.set(id, backoffState{until: now + drainingBackoff})
--- a/coordination/homes/homes.go
+++ b/coordination/homes/homes.go
@@ -78,6 +78,8 @@
 	SinceLastSeen time.Duration
 	// Draining is set during a graceful shutdown of the entry.
 	Draining bool
+	// Detached is set while the entry reaches no target.
+	Detached bool
 }
 
 // Assignment holds one entry's view of which entries run gathered requests.
@@ -88,7 +90,7 @@
 	// IsHome reports whether this entry is a home.
 	IsHome bool
 	// SameZone lists the other homes of this entry's zone, and OtherZones those of the other zones.
-	// Both leave out draining entries.
+	// Both leave out draining entries and those that reach no target.
 	SameZone, OtherZones []Entry
 }
 
@@ -118,7 +120,7 @@
 			switch {
 			case e.ID == self.ID:
 				a.IsHome = sinceZoneNews < s.ResignAfter
-			case e.Draining:
+			case e.Draining || e.Detached:
 			case zone == self.Zone:
 				a.SameZone = append(a.SameZone, e)
 			default:
--- a/internal/engine/detached.go
+++ b/internal/engine/detached.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/detached"
+	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 const (
@@ -20,7 +21,9 @@
 	// reachedTimeout limits the question to peers which targets they have reached.
 	reachedTimeout = 200 * time.Millisecond
 	// detachedProbeTimeout limits a connection attempt to a target that a peer has reached.
+	// firstProbeTimeout limits the first attempt of a check, which usually succeeds.
 	detachedProbeTimeout = 250 * time.Millisecond
+	firstProbeTimeout    = 50 * time.Millisecond
 	// detachedProbeInterval is the minimum time between the starts of two probes of a detached entry.
 	detachedProbeInterval = 200 * time.Millisecond
 	// candidatesPeriod is the time for which a detached entry probes the same candidates.
@@ -78,7 +81,7 @@
 }
 
 // recordFailure records an attempt without a reply, and reports whether to check now whether targets
-// can be reached. refused is set if no connection could be opened.
+// can be reached. refused is set if a connection could not be opened or was reset.
 func (a *attachment) recordFailure(target string, refused bool, started, now time.Duration) (check bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -128,7 +131,7 @@
 	case err == nil || mayHaveAnswered(err):
 		e.attachment.recordReply(target, now)
 	case mayBeUnanswered(err):
-		if e.attachment.recordFailure(target, connectionRefused(err), started, now) {
+		if e.attachment.recordFailure(target, status.CodeOf(err) == status.ConnectionFailed, started, now) {
 			go e.checkAttachment()
 		}
 	}
@@ -168,20 +171,19 @@
 }
 
 // countReachable returns the number of targets to which a connection can be opened. It tries the others
-// only if the first one fails.
+// only if the first one cannot be reached within firstProbeTimeout.
 func (e *Engine) countReachable(targets []string) int {
 	if len(targets) == 0 {
 		return 0
 	}
-	if e.probeTarget(targets[0]) {
+	if e.probeTarget(targets[0], firstProbeTimeout) {
 		return 1
 	}
-	targets = targets[1:]
 	var reached atomic.Int64
 	var probes sync.WaitGroup
 	for _, target := range targets {
 		probes.Go(func() {
-			if e.probeTarget(target) {
+			if e.probeTarget(target, detachedProbeTimeout) {
 				reached.Add(1)
 			}
 		})
@@ -190,8 +192,8 @@
 	return int(reached.Load())
 }
 
-func (e *Engine) probeTarget(target string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), detachedProbeTimeout)
+func (e *Engine) probeTarget(target string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return e.targets.Reachable(ctx, target)
 }
@@ -209,7 +211,7 @@
 			askedAt = start
 		}
 		if len(candidates) > 0 {
-			reached := e.probeTarget(candidates[rand.IntN(len(candidates))])
+			reached := e.probeTarget(candidates[rand.IntN(len(candidates))], detachedProbeTimeout)
 			e.attachment.mu.Lock()
 			attached := e.attachment.detector.RecordProbe(e.self.Clock(), reached)
 			e.attachment.mu.Unlock()
--- a/internal/entry/allocators.go
+++ b/internal/entry/allocators.go
@@ -16,15 +16,19 @@
 const allocatorRetention = homes.DefaultReplaceAfter
 
 // allocatorFleet returns the entries that may allocate the rate limits of targets: those that were
-// heard of recently. A draining entry stays among them, because entries that merely cannot read the
-// platform count as draining too.
-func allocatorFleet(self ratelimit.Entry, s *configsync.Syncer) targetrate.Fleet {
-	fleet := targetrate.Fleet{Entries: []ratelimit.Entry{self}}
+// heard of recently and reach targets. A draining entry stays among them, because entries that merely
+// cannot read the platform count as draining too. detached is set while this entry reaches no target; it
+// is among them then only if there is no other.
+func allocatorFleet(self ratelimit.Entry, detached bool, s *configsync.Syncer) targetrate.Fleet {
+	var fleet targetrate.Fleet
 	now := time.Now()
 	for _, m := range s.Members() {
-		if m.Entry != self.ID && m.Incarnation != (ids.Incarnation{}) && now.Sub(m.LastSeen) < allocatorRetention {
+		if m.Entry != self.ID && m.Incarnation != (ids.Incarnation{}) && !m.Detached && now.Sub(m.LastSeen) < allocatorRetention {
 			fleet.Entries = append(fleet.Entries, ratelimit.Entry{ID: m.Entry, Zone: m.Zone, Address: m.Address})
 		}
 	}
+	if !detached || len(fleet.Entries) == 0 {
+		fleet.Entries = append(fleet.Entries, self)
+	}
 	return fleet
 }
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -191,7 +191,7 @@
 			d.engine.core.ExpireNotices()
 			d.engine.SetEntries(d.entryCount())
 			d.engine.core.SetPeers(peerNames(d.syncer))
-			d.engine.core.RateLimits().SetFleet(allocatorFleet(ratelimit.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Address: d.settings.PeerAddress}, d.syncer))
+			d.engine.core.RateLimits().SetFleet(allocatorFleet(ratelimit.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Address: d.settings.PeerAddress}, d.engine.core.Detached(), d.syncer))
 			if d.settings.PolicyMode == settings.PolicyOn {
 				d.targets.OpenSpares()
 			}
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -335,7 +335,7 @@
 	for _, m := range d.syncer.Members() {
 		if m.Incarnation != (ids.Incarnation{}) {
 			others = append(others, homes.Entry{ID: m.Entry, Zone: m.Zone, Address: m.Address,
-				Capacity: m.Capacity, SinceLastSeen: now.Sub(m.LastSeen), Draining: m.Draining})
+				Capacity: m.Capacity, SinceLastSeen: now.Sub(m.LastSeen), Draining: m.Draining, Detached: m.Detached})
 		}
 	}
 	self := homes.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Capacity: cpuCapacity(d.settings)}
@@ -350,7 +350,7 @@
 // number of entries of the fleet.
 func (d *RelayDaemon) allocatorFleet(entries int) targetrate.Fleet {
 	self := ratelimit.Entry{ID: d.settings.ID, Zone: d.settings.Zone, Address: d.settings.PeerAddress}
-	fleet := allocatorFleet(self, d.syncer)
+	fleet := allocatorFleet(self, d.core.Detached(), d.syncer)
 	if len(fleet.Entries) <= 1 && entries > len(fleet.Entries) {
 		fleet.AssumedEntries = entries
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/coordination/detour"
 	"github.com/balsamstall/balsamstall/coordination/homes"
 	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/internal/engine"
@@ -58,13 +59,17 @@
 	assignment homes.Assignment
 	// backoff holds the homes that are left out after failed offers. Guarded by mu.
 	backoff homes.Backoff
+	// peers lists the entries that run requests while this entry reaches no target. Guarded by mu.
+	peers []detour.Peer
+	// running counts the requests that peers run because this entry reaches no target. Guarded by mu.
+	running map[string]int
 	// newestSheet is the highest sheet revision under which a home ran a request of this entry.
 	// Guarded by mu.
 	newestSheet uint64
 }
 
 func newForwarder(cfg *Config) *forwarder {
-	f := &forwarder{homes: cfg.Homes, engine: cfg.Engine, catchUp: cfg.CatchUp, metrics: cfg.Metrics, self: cfg.Self,
+	f := &forwarder{running: make(map[string]int), homes: cfg.Homes, engine: cfg.Engine, catchUp: cfg.CatchUp, metrics: cfg.Metrics, self: cfg.Self,
 		log: cfg.Log.Sample(&zerolog.BurstSampler{Burst: maxForwardLogsPerSecond, Period: time.Second})}
 	if f.catchUp == nil {
 		f.catchUp = func(string) {}
@@ -72,12 +77,15 @@
 	return f
 }
 
-// setAssignment replaces the assignment of homes.
-func (f *forwarder) setAssignment(a homes.Assignment) {
+// setFleet replaces the assignment of homes and the peers.
+func (f *forwarder) setFleet(a homes.Assignment, peers []detour.Peer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.assignment = a
-	known := make(map[string]bool, len(a.SameZone)+len(a.OtherZones))
+	f.assignment, f.peers = a, peers
+	known := make(map[string]bool, len(a.SameZone)+len(a.OtherZones)+len(peers))
+	for i := range peers {
+		known[peers[i].ID] = true
+	}
 	for _, h := range append(a.SameZone[:len(a.SameZone):len(a.SameZone)], a.OtherZones...) {
 		known[h.ID] = true
 	}
@@ -107,21 +115,43 @@
 // gather runs a request on a home. It returns nil if no home has accepted the request. The request
 // has not run then, and this entry may run it.
 func (f *forwarder) gather(ctx context.Context, req *relayapi.Request, p *plan, route *route, engineReq *engine.Request) *relayapi.Answer {
-	var tried offerLog
-	for _, home := range f.offerOrder() {
+	o := offering{req: req, engineReq: engineReq, start: f.gatherStart(req, p, route), timeout: offerTimeout, message: homesMessage}
+	return f.offer(ctx, &o, f.offerOrder())
+}
+
+// offering is a request that is offered to other entries.
+type offering struct {
+	req       *relayapi.Request
+	engineReq *engine.Request
+	start     *peerpb.GatherStart
+	// timeout is the time within which an entry must offer to run the request.
+	timeout time.Duration
+	// message is the text of the log line.
+	message string
+	tried   offerLog
+}
+
+// offer runs a request on the first of the entries that accepts it. It returns nil if none does. The
+// request has not run then.
+func (f *forwarder) offer(ctx context.Context, o *offering, entries []homes.Entry) *relayapi.Answer {
+	for _, e := range entries {
 		start := time.Now()
-		gathered, err := f.homes.Gather(ctx, home.Address, f.gatherStart(req, p, route), offerTimeout)
-		f.recordOffer(home.ID, gathered, err)
-		tried.add(home.ID, time.Since(start), err)
+		gathered, err := f.homes.Gather(ctx, e.Address, o.start, o.timeout)
+		f.recordOffer(e.ID, gathered, err)
+		o.tried.add(e.ID, time.Since(start), err)
 		if err == nil {
-			f.metrics.Forwarded.Add(1)
-			f.logForward(req, engineReq, &tried, nil)
-			mergeLeaving(f.engine, home.ID, gathered.Answer.Leaving)
+			if o.start.Detour {
+				f.metrics.Detoured.Add(1)
+			} else {
+				f.metrics.Forwarded.Add(1)
+			}
+			f.logForward(o, nil)
+			mergeLeaving(f.engine, e.ID, gathered.Answer.Leaving)
 			return decodeAnswer(gathered.Answer)
 		}
 		failure := status.From(err)
 		if failure.Outcome != status.NotRun {
-			f.logForward(req, engineReq, &tried, failure)
+			f.logForward(o, failure)
 			return errorAnswer(failure)
 		}
 		f.metrics.FailedOffers.Add(1)
@@ -129,15 +159,15 @@
 			break
 		}
 	}
-	if len(tried) > 0 {
-		f.logForward(req, engineReq, &tried, nil)
+	if len(o.tried) > 0 {
+		f.logForward(o, nil)
 	}
 	return nil
 }
 
 // gatherStart returns the message that offers a request to a home.
 func (f *forwarder) gatherStart(req *relayapi.Request, p *plan, route *route) *peerpb.GatherStart {
-	s := &peerpb.GatherStart{
+	return &peerpb.GatherStart{
 		RequestId:     req.ID,
 		Host:          req.Host,
 		Path:          req.Path,
@@ -150,13 +180,18 @@
 		SheetRevision: max(p.sheet.Revision, f.newestSheetRevision()),
 		Receiver:      f.self.Entry,
 		Leaving:       statedLeaving(f.engine, route),
+		Header:        encodeHeader(req.Header),
 	}
-	for name, values := range req.Header {
+}
+
+func encodeHeader(h http.Header) []*peerpb.HeaderField {
+	var fields []*peerpb.HeaderField
+	for name, values := range h {
 		for _, v := range values {
-			s.Header = append(s.Header, &peerpb.HeaderField{Name: name, Value: v})
+			fields = append(fields, &peerpb.HeaderField{Name: name, Value: v})
 		}
 	}
-	return s
+	return fields
 }
 
 // statedLeaving returns the targets of a route that stated that they are leaving. The receiver and
@@ -189,6 +224,8 @@
 		f.newestSheet = max(f.newestSheet, gathered.SheetRevision)
 	case code == status.Draining:
 		f.backoff.RecordDraining(now, home)
+	case code == status.NoReplica:
+		f.backoff.RecordDetached(now, home)
 	case code == status.Canceled, code == status.DeadlineExceeded, code == status.VersionUnavailable, code == status.Overloaded:
 		// These concern only the request, or show that the home is alive.
 	default:
@@ -230,6 +267,9 @@
 		}
 		return errorAnswer(err)
 	}
+	if a.Passed != nil {
+		return &relayapi.Answer{Service: a.Service, Reply: decodePassed(a.Passed)}
+	}
 	return &relayapi.Answer{Service: a.Service, Merged: &relayapi.Merged{
 		Signatures: a.Signatures,
 		Missing:    int(a.Missing),
@@ -249,23 +289,29 @@
 	*o = append(*o, home+"+"+strconv.FormatInt(took.Milliseconds(), 10)+"="+code)
 }
 
-// logForward logs a request that was offered to homes. The level is debug if the first home answered
-// the request, and info otherwise.
-func (f *forwarder) logForward(req *relayapi.Request, engineReq *engine.Request, tried *offerLog, failure *status.Error) {
+// Texts of the log lines about requests that were offered to other entries.
+const (
+	homesMessage  = "request offered to homes"
+	detourMessage = "request offered to peers because this entry reaches no target"
+)
+
+// logForward logs a request that was offered to other entries. The level is debug if the first home
+// answered the request, and info otherwise.
+func (f *forwarder) logForward(o *offering, failure *status.Error) {
 	level := zerolog.DebugLevel
-	if failure != nil || len(*tried) > 1 || !strings.HasSuffix((*tried)[0], "=ok") {
+	if o.start.Detour || failure != nil || len(o.tried) > 1 || !strings.HasSuffix(o.tried[0], "=ok") {
 		level = zerolog.InfoLevel
 	}
 	event := f.log.WithLevel(level)
 	if level < f.log.GetLevel() || event == nil {
 		return
 	}
-	event.Str("request_id", req.ID).Str("service", engineReq.Service).Uint64("sheet", engineReq.SheetRevision).
-		Int64("took_ms", time.Since(req.Arrival).Milliseconds()).Strs("offers", *tried)
+	event.Str("request_id", o.req.ID).Str("service", o.engineReq.Service).Uint64("sheet", o.engineReq.SheetRevision).
+		Int64("took_ms", time.Since(o.req.Arrival).Milliseconds()).Strs("offers", o.tried)
 	if failure != nil {
 		event.Str("code", string(failure.Code)).Str("outcome", string(failure.Outcome)).Str("detail", failure.Message)
 	}
-	event.Msg("request offered to homes")
+	event.Msg(o.message)
 }
 
 // decodeHeader converts the header of a forwarded request.
--- a/internal/relay/home.go
+++ b/internal/relay/home.go
@@ -27,21 +27,25 @@
 	req   *relayapi.Request
 }
 
-// Offer checks whether this entry can run a gathered request for another entry. Nothing is sent to
+// Offer checks whether this entry can run a request for another entry: a gathered request, or any request
+// of an entry that reaches no target. Nothing is sent to
 // a target before Run. If Offer succeeds, the caller must call Run or Drop. Every error has the
 // outcome NotRun.
 func (r *Relay) Offer(s *peerpb.GatherStart) (*HostedRequest, error) {
 	if r.draining.Load() {
 		return nil, status.New(status.Draining, status.NotRun, "this entry is stopping")
 	}
+	if r.cfg.Engine.Detached() {
+		return nil, status.New(status.NoReplica, status.NotRun, "this entry reaches no target")
+	}
 	p := r.plan.Load()
 	if p == nil || p.sheet.Revision < s.SheetRevision {
 		r.forwarder.catchUp(s.Receiver)
 		return nil, status.New(status.VersionUnavailable, status.NotRun, "sheet revision %d is not in force on this entry", s.SheetRevision)
 	}
 	route := p.findRoute(s.Host, s.Path)
-	if route == nil || route.layout == nil {
-		return nil, status.New(status.VersionUnavailable, status.NotRun, "the request matches no service with shards in sheet revision %d", p.sheet.Revision)
+	if route == nil || route.layout == nil && !s.Detour {
+		return nil, status.New(status.VersionUnavailable, status.NotRun, "the request matches no service that this entry runs for others in sheet revision %d", p.sheet.Revision)
 	}
 	if r.hosted.Add(1) > maxHosted {
 		r.hosted.Add(-1)
@@ -87,6 +91,9 @@
 		return &peerpb.GatherAnswer{Error: &peerpb.GatherError{Code: string(err.Code), Outcome: string(err.Outcome),
 			Message: err.Message, RetryAfterMs: err.RetryAfter.Milliseconds()}, Leaving: leaving}
 	}
+	if answer.Reply != nil {
+		return &peerpb.GatherAnswer{Service: answer.Service, Passed: encodePassed(answer.Reply), Leaving: leaving}
+	}
 	return &peerpb.GatherAnswer{
 		Service:    answer.Service,
 		Signatures: answer.Merged.Signatures,
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -30,6 +30,8 @@
 	// Forwarded counts requests that a home ran, FailedOffers the times that a home refused a request
 	// or did not offer to run it in time, and Hosted requests that ran here for other entries.
 	Forwarded, FailedOffers, Hosted expvar.Int
+	// Detoured counts requests that a peer ran because this entry reached no target.
+	Detoured expvar.Int
 
 	mu sync.Mutex
 	// latency is guarded by mu.
@@ -77,6 +79,7 @@
 	vars.Set("failed_total", &m.Failed)
 	vars.Set("partial_total", &m.Partial)
 	vars.Set("forwarded_total", &m.Forwarded)
+	vars.Set("detoured_total", &m.Detoured)
 	vars.Set("unoffered_total", &m.FailedOffers)
 	vars.Set("hosted_total", &m.Hosted)
 	vars.Set("latency", expvar.Func(func() any { return m.snapshot() }))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -139,7 +139,7 @@
 // SetFleet updates which entries share the targets and which of them run gathered requests. It is
 // called periodically.
 func (r *Relay) SetFleet(f Fleet) {
-	r.forwarder.setAssignment(f.Assignment)
+	r.forwarder.setFleet(f.Assignment, f.Peers)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !f.OldestStart.IsZero() && f.OldestStart.Before(r.fleetStart) {
@@ -292,11 +292,25 @@
 	}
 	if route.layout != nil {
 		req = r.waits.estimate(req, route.service.Name)
+	}
+	if r.cfg.Engine.Detached() {
+		if answer := r.detour(ctx, req, p, route); answer != nil {
+			return answer
+		}
+		return errorAnswer(status.New(status.NotReady, status.NotRun, "this entry reaches no target, and no peer accepts the request").WithRetryAfter(engine.DefaultRetryAfter))
+	}
+	if route.layout != nil {
 		if answer := r.forward(ctx, req, p, route); answer != nil {
 			return answer
 		}
 	}
-	return r.run(ctx, req, p, route)
+	answer := r.run(ctx, req, p, route)
+	if mayDetour(answer) && r.cfg.Engine.MayBeDetached() {
+		if detoured := r.detour(ctx, req, p, route); detoured != nil {
+			return detoured
+		}
+	}
+	return answer
 }
 
 // forward runs a gathered request on a home. It returns nil if no home has accepted the request.
