Do not take a partition of an entry for crashes of its targets

Callers saw: in a test, requests that an entry repeated while its connections to all servers were reset were refused as crashing servers after the end of the partition (503), at its peers too. Cause: a target counts as crashed when its connection breaks and no new one can be opened, which a partition of the entry does to every target. Result: TestPartitionIsNotTakenForCrashes failed before (503) and passes; TestCrashingRequestIsQuarantined and the tests of internal/engine pass.

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -125,7 +125,8 @@
 }
 
 // targetCrashed reports whether a failed attempt coincides with a crash of its target: the
-// connection broke after the request was sent, and no new connection can be opened.
+// connection broke after the request was sent, and no new connection can be opened although other
+// targets can be reached. A partition of this entry breaks the connections of all targets.
 func (e *Engine) targetCrashed(target string, err error) bool {
 	se := status.From(err)
 	if se == nil || se.Code != status.ConnectionFailed || se.Outcome != status.Unknown {
@@ -133,5 +134,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	return !e.targets.Reachable(ctx, target)
+	return !e.targets.Reachable(ctx, target) && e.reachesOthers(target)
 }
--- a/internal/engine/detached.go
+++ b/internal/engine/detached.go
@@ -192,6 +192,22 @@
 	return int(reached.Load())
 }
 
+// reachesOthers reports whether this entry reaches any target other than the given one, or knows none.
+func (e *Engine) reachesOthers(target string) bool {
+	if e.Detached() {
+		return false
+	}
+	e.attachment.mu.Lock()
+	var others []string
+	for t := range e.attachment.targets { // Go iterates in random order.
+		if t != target && len(others) < maxReachedTargets {
+			others = append(others, t)
+		}
+	}
+	e.attachment.mu.Unlock()
+	return len(others) == 0 || e.countReachable(others) > 0
+}
+
 func (e *Engine) probeTarget(target string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
