Read the replies of attempts that lost to a hedge

Cause: the connection of a canceled attempt was closed at once, so that a reply on its way was never read. TestLeavingStateLastsUntilRestart failed once for the same reason on a busy host: the reply of the leaving server lost to a hedge. Change: a canceled attempt whose message was sent closes only the sending side of its connection, which cancels the work on the target, and reads the reply in the background for up to 1 s, at most 64 at a time. What the target states about later requests is applied; the reply answers nobody.

--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -15,6 +15,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/segmentio/encoding/json"
@@ -66,6 +67,8 @@
 	metrics Metrics
 	// readBudget bounds the memory of the bodies that are being read.
 	readBudget readBudget
+	// lateReplies is the number of late replies that are being read.
+	lateReplies atomic.Int64
 }
 
 // Metrics counts connection events. All methods must be safe for concurrent use.
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -260,6 +260,11 @@
 // discard closes a connection and frees its slot.
 func (p *pool) discard(c *conn) {
 	c.Close()
+	p.forget()
+}
+
+// forget frees the slot of a connection that its user closes.
+func (p *pool) forget() {
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -38,6 +38,9 @@
 	// OnReply is called with the reply before the connection serves another attempt, so that what the
 	// target stated applies to the attempts that wait for it. It may be nil.
 	OnReply func(*Reply)
+	// OnLateReply is called with a reply that arrives within lateReplyTimeout after the attempt was
+	// canceled, because what the target states in it concerns later attempts. It may be nil.
+	OnLateReply func(*Reply)
 }
 
 // Reply is a complete reply with a body of at most MaxReplyBytes.
@@ -77,6 +80,9 @@
 		if x.conn.lastReply.IsZero() && ctx.Err() == nil {
 			x.pool.recordRefusal()
 		}
+		if m.OnLateReply != nil && ctx.Err() != nil && outcome == status.Unknown && x.readLate(m) {
+			return nil, x.ioError(ctx, err, outcome)
+		}
 		x.pool.discard(x.conn)
 		return nil, x.ioError(ctx, err, outcome)
 	}
