Refuse requests that come late in a graceful shutdown

Cause: here a stopping entry took requests until no request was running or 1.4 s before the end of its grace period, and then canceled what ran: a request of a kept connection that came just before got 502 with an unknown outcome, also one that must not be repeated.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,8 @@
 	sequence atomic.Uint64
 	inflight inflight.Table
 	draining atomic.Bool
+	// refusing is set late in a graceful shutdown, when new requests might not finish.
+	refusing atomic.Bool
 	// healthy is false while callers are better served by other entries.
 	healthy atomic.Bool
 	// hosted counts the requests of other entries that this entry has offered to run and that have
@@ -247,6 +249,10 @@
 // use another connection. Requests are still served.
 func (r *Relay) BeginDrain() { r.draining.Store(true) }
 
+// RefuseNew makes the relay refuse new requests at once. It is called late in a graceful shutdown,
+// when a new request might not finish; running requests go on.
+func (r *Relay) RefuseNew() { r.refusing.Store(true) }
+
 // Abort cancels the running requests.
 func (r *Relay) Abort() { r.abort() }
 
@@ -281,6 +287,9 @@
 }
 
 func (r *Relay) serve(ctx context.Context, req *relayapi.Request) *relayapi.Answer {
+	if r.refusing.Load() {
+		return errorAnswer(status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter))
+	}
 	r.cfg.Engine.AwaitVerified(ctx)
 	p := r.awaitRevision(ctx)
 	if p == nil {
