Issue no permits at an entry that reaches no target

Cause: a permit runs only on the entry that issued it, which cannot run it while it reaches no target; and searches there failed after their attempts. Change: entries that serve searches also tell peers which targets they reach and detect that they reach none. Such an entry is not ready, and refuses searches without a permit at once; permits that it has issued keep their recorded outcomes.

--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -79,6 +79,10 @@
 		Verify:      func() { d.syncer.Refresh(context.Background()) },
 		Audit:       d.audit,
 		Tokens:      d.pool.Tokens,
+		ReachedTargets: func(ctx context.Context) []string {
+			return reachedTargets(ctx, d.syncer, d.pool, d.log)
+		},
+		OnDetached: func(detached bool) { d.syncer.SetDetached(detached) },
 	})
 	d.facts = newFactExchange(d.self, d.engine.core)
 	d.wireSync()
--- a/internal/entry/detached.go
+++ b/internal/entry/detached.go
@@ -7,9 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/balsamstall/balsamstall/coordination/detour"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/protocol/ids"
+	"github.com/balsamstall/balsamstall/transport/peerrpc"
 )
 
 const (
@@ -40,8 +43,8 @@
 
 // reachedTargets asks random peers, most of them with a large capacity, for targets that have recently
 // replied to them. The entries with the largest capacity have the densest traffic.
-func (d *RelayDaemon) reachedTargets(ctx context.Context) []string {
-	peers := attachedPeers(d.syncer)
+func reachedTargets(ctx context.Context, syncer *configsync.Syncer, pool *peerrpc.Pool, log zerolog.Logger) []string {
+	peers := attachedPeers(syncer)
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	if len(peers) > 1 {
 		slices.SortStableFunc(peers[1:], func(a, b configsync.Member) int { return int(b.Capacity) - int(a.Capacity) })
@@ -51,9 +54,9 @@
 	var calls sync.WaitGroup
 	for _, peer := range peers[:min(len(peers), peersAsked)] {
 		calls.Go(func() {
-			reply, err := d.pool.Reached(ctx, peer.Address)
+			reply, err := pool.Reached(ctx, peer.Address)
 			if err != nil {
-				d.log.Debug().Err(err).Str("peer", peer.Entry).Msg("peer did not tell which targets it reaches")
+				log.Debug().Err(err).Str("peer", peer.Entry).Msg("peer did not tell which targets it reaches")
 				return
 			}
 			mu.Lock()
--- a/internal/entry/engine.go
+++ b/internal/entry/engine.go
@@ -96,6 +96,12 @@
 	// Tokens asks another entry for tokens of targets with a rate limit. It may be nil if there are no
 	// other entries.
 	Tokens func(ctx context.Context, address string, in *peerpb.TokensRequest) (*peerpb.TokensReply, error)
+	// ReachedTargets asks peers for targets that have replied to them within a second. It may be nil
+	// if there are no other entries.
+	ReachedTargets func(ctx context.Context) []string
+	// OnDetached is called when this entry begins or ceases to reach no target. It must not block and
+	// may be nil.
+	OnDetached func(detached bool)
 }
 
 // New returns an engine that refuses requests until SetDocuments is called.
@@ -118,6 +124,8 @@
 			NotifyPeers:    cfg.NotifyPeers,
 			Verify:         cfg.Verify,
 			Tokens:         cfg.Tokens,
+			ReachedTargets: cfg.ReachedTargets,
+			OnDetached:     cfg.OnDetached,
 			Audit:          cfg.Audit,
 		}),
 		signer:           permit.NewSigner(cfg.PermitKey),
@@ -193,6 +201,11 @@
 		err := status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter)
 		return e.errorReply(id, unknownIfPermit(call.Search, err), "")
 	}
+	if e.core.Detached() && req.search.Permit == "" {
+		// A permit of this entry could run nowhere else.
+		err := status.New(status.NotReady, status.NotRun, "this entry reaches no target").WithRetryAfter(engine.DefaultRetryAfter)
+		return e.errorReply(id, err, "")
+	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
 	defer cancel()
 	var reply callerhttp.Reply
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -128,6 +128,13 @@
 		PermitKey: []byte("permit-key-of-the-test-0123456789"),
 		PolicyOn:  true,
 		Metrics:   NewMetrics(),
+		ReachedTargets: func(context.Context) []string {
+			var targets []string
+			for i := range f.sheet.Targets {
+				targets = append(targets, f.sheet.Targets[i].ID)
+			}
+			return targets
+		},
 	})
 	e.SetDocuments(f.sheet, f.index)
 	f.mu.Lock()
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -351,3 +352,29 @@
 		is.Equal(f.targets.countRuns(func(r targetapi.SearchRequest) bool { return r.Query == query }), 1)
 	}
 }
+
+// Guards against a permit that can run nowhere: its issuer reaches no target.
+func TestDetachedEntryIssuesNoPermit(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 4)
+	var partitioned atomic.Bool
+	partitioned.Store(true)
+	f.targets.reachable = func(string) bool { return !partitioned.Load() }
+	f.targets.serve = func(_ context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+		if partitioned.Load() {
+			return nil, status.New(status.ConnectionFailed, status.NotRun, "dial target %s", target)
+		}
+		return f.targets.run(req), nil
+	}
+	for !f.engine(0).core.Detached() {
+		f.search(0, testKeyAsan, callerapi.SearchRequest{Service: "quote-desk-1", Query: "q", DeadlineMS: 100})
+	}
+	refused := f.search(0, testKeyAsan, atMostOnceSearch("fetch d1", ""))
+	is.Equal(refused.refusal.Code, status.NotReady)
+	is.Equal(refused.refusal.Permit, "")
+	partitioned.Store(false)
+	for f.engine(0).core.Detached() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(f.search(0, testKeyAsan, atMostOnceSearch("fetch d1", "")).status, http.StatusPreconditionRequired)
+}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -11,7 +11,7 @@
 
 // Ready implements adminhttp.Entry.
 func (d *Daemon) Ready() bool {
-	return d.syncer.Ready() && d.engine.plan.Load() != nil && !d.engine.draining.Load()
+	return d.syncer.Ready() && d.engine.plan.Load() != nil && !d.engine.draining.Load() && !d.engine.core.Detached()
 }
 
 // Drain implements adminhttp.Entry.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -68,6 +68,11 @@
 	return h.rateLimits.HandleRequest(in), nil
 }
 
+// Reached returns targets that have recently replied to this entry.
+func (h *peerHandler) Reached(context.Context, *peerpb.ReachedRequest) (*peerpb.ReachedReply, error) {
+	return &peerpb.ReachedReply{Targets: h.engine.core.RecentlyReached()}, nil
+}
+
 func (h *peerHandler) Fetch(ctx context.Context, in *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
 	return h.syncer.HandleFetch(ctx, in)
 }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -138,9 +138,11 @@
 		NotifyPeers:           func() { d.syncer.NotifyPeers() },
 		Verify:                func() { d.syncer.Refresh(context.Background()) },
 		Tokens:                d.pool.Tokens,
-		ReachedTargets:        d.reachedTargets,
-		OnDetached:            func(detached bool) { d.syncer.SetDetached(detached) },
-		Audit:                 d.audit,
+		ReachedTargets: func(ctx context.Context) []string {
+			return reachedTargets(ctx, d.syncer, d.pool, d.log)
+		},
+		OnDetached: func(detached bool) { d.syncer.SetDetached(detached) },
+		Audit:      d.audit,
 	})
 	d.relay = relay.New(relay.Config{
 		Self:    d.self,
