Serve requests that a partition cuts through peers

Cause: no reply ends an attempt on a connection that hangs, and hedges hang too. Change: when an entry becomes detached and no target has replied for 100 ms, its idempotent requests end and are offered to peers. Requests that must not be repeated go on waiting: they may have run.

--- a/internal/engine/detached.go
+++ b/internal/engine/detached.go
@@ -26,6 +26,9 @@
 	firstProbeTimeout    = 50 * time.Millisecond
 	// detachedProbeInterval is the minimum time between the starts of two probes of a detached entry.
 	detachedProbeInterval = 200 * time.Millisecond
+	// silentPeriod is the time without any reply after which attempts on open connections count as lost
+	// once the entry is detached. Connections that were opened before may work on meanwhile.
+	silentPeriod = 100 * time.Millisecond
 	// candidatesPeriod is the time for which a detached entry probes the same candidates.
 	candidatesPeriod = time.Second
 )
@@ -43,6 +46,11 @@
 	next    int
 	// targets holds the ids of the known targets. Guarded by mu.
 	targets map[string]bool
+	// repliedAt is the time of the last reply. Guarded by mu.
+	repliedAt time.Duration
+	// connected ends when the entry becomes detached while no target replies. Guarded by mu.
+	connected    context.Context
+	endConnected context.CancelFunc
 }
 
 // reachedTarget is a target and the time of its last reply.
@@ -52,7 +60,22 @@
 }
 
 func newAttachment() *attachment {
-	return &attachment{detector: detached.New(detached.DefaultSettings())}
+	a := &attachment{detector: detached.New(detached.DefaultSettings())}
+	a.connected, a.endConnected = context.WithCancel(context.Background())
+	return a
+}
+
+// setDetached ends connected, or replaces it by a new context.
+func (a *attachment) setDetached(isDetached bool, now time.Duration) {
+	a.detached.Store(isDetached)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case !isDetached:
+		a.connected, a.endConnected = context.WithCancel(context.Background())
+	case now-a.repliedAt > silentPeriod:
+		a.endConnected()
+	}
 }
 
 // setTargets replaces the known targets.
@@ -70,6 +93,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.detector.RecordReply(now)
+	a.repliedAt = now
 	for i := range a.reached {
 		if a.reached[i].target == target {
 			a.reached[i].at = now
@@ -107,6 +131,14 @@
 	return e.attachment.detector.Suspected(e.self.Clock())
 }
 
+// Connected returns a context that ends when this entry becomes detached while no target replies:
+// attempts that run then get no reply.
+func (e *Engine) Connected() context.Context {
+	e.attachment.mu.Lock()
+	defer e.attachment.mu.Unlock()
+	return e.attachment.connected
+}
+
 // RecentlyReached returns targets that have replied to this entry within a second.
 func (e *Engine) RecentlyReached() []string {
 	if e.Detached() {
@@ -242,7 +274,7 @@
 
 // setDetached applies a change of Detached.
 func (e *Engine) setDetached(isDetached bool) {
-	e.attachment.detached.Store(isDetached)
+	e.attachment.setDetached(isDetached, e.self.Clock())
 	if isDetached {
 		e.metrics.Detached.Set(1)
 		e.log.Warn().Msg("this entry reaches no target although its peers do; they serve its requests")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -313,8 +313,8 @@
 			return answer
 		}
 	}
-	answer := r.run(ctx, req, p, route)
-	if mayDetour(answer) && r.cfg.Engine.MayBeDetached() {
+	answer, lost := r.runWhileConnected(ctx, req, p, route)
+	if lost || mayDetour(answer) && r.cfg.Engine.MayBeDetached() {
 		if detoured := r.detour(ctx, req, p, route); detoured != nil {
 			return detoured
 		}
@@ -322,6 +322,20 @@
 	return answer
 }
 
+// runWhileConnected runs a request on this entry. It ends an idempotent request when this entry ceases to
+// reach its targets, and reports then that the request was lost and may run elsewhere.
+func (r *Relay) runWhileConnected(ctx context.Context, req *relayapi.Request, p *plan, route *route) (answer *relayapi.Answer, lost bool) {
+	if route.service.Repeat.Rule != sheet.Idempotent {
+		return r.run(ctx, req, p, route), false
+	}
+	connected := r.cfg.Engine.Connected()
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(connected, cancel)()
+	answer = r.run(runCtx, req, p, route)
+	return answer, answer.Err != nil && connected.Err() != nil && ctx.Err() == nil
+}
+
 // forward runs a gathered request on a home. It returns nil if no home has accepted the request.
 func (r *Relay) forward(ctx context.Context, req *relayapi.Request, p *plan, route *route) *relayapi.Answer {
 	engineReq := newEngineRequest(req, p, route)
