Give up only the shard whose isolated run reaches no target

A search loses an attempt to the crash of its target, and the shard runs again in isolation on another target, which had just crashed too and refused the connection. The end of an isolated run without a reply aborted the whole search, which is right only for the first shard, before the others are sent; here they were on their way. Change: only that shard is given up, and shards that waited for the isolated run have their turn.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -246,12 +246,18 @@
 	if r.sub == q.isolatedSub && r.sub == q.canary && status.From(r.err).Outcome == status.NotRun && q.moveIsolatedRun(r.sub) {
 		return
 	}
-	if r.sub == q.isolatedSub {
+	isolated := r.sub == q.isolatedSub
+	if isolated {
 		q.endIsolatedRun(false)
-		q.aborted = q.failureError(false)
-		return
+		if r.sub == q.canary {
+			q.aborted = q.failureError(false)
+			return
+		}
 	}
 	q.giveUp(r.sub, reason)
+	if isolated {
+		q.resumeWaiting()
+	}
 	if r.sub == q.canary {
 		q.launchRemaining()
 	}
--- a/internal/engine/canary.go
+++ b/internal/engine/canary.go
@@ -114,11 +114,24 @@
 	}
 	q.endIsolatedRun(false)
 	q.giveUp(i, callerapi.ReasonConnectionFailed)
+	q.resumeWaiting()
 	if i == q.canary {
 		q.aborted = status.New(status.Unavailable, status.Unknown, "the target of the first shard crashed and no other holds it").WithRetryAfter(DefaultRetryAfter)
 	}
 }
 
+// resumeWaiting lets the sub-requests that waited for an isolated run, which ended without a reply, run in
+// isolation one after the other.
+func (q *query) resumeWaiting() {
+	waiting := q.waitingForIsolated
+	q.waitingForIsolated = nil
+	for _, sub := range waiting {
+		if q.aborted == nil {
+			q.handleCrash(sub, false)
+		}
+	}
+}
+
 // maxIsolationMoves limits the number of times that one query tries to move its isolated run to
 // another shard.
 const maxIsolationMoves = 4
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -6,7 +6,9 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -204,6 +206,34 @@
 	}
 }
 
+// Guards against a request that fails as a whole because one of its shards has lost all targets, the first of
+// them while it ran the request: the other shards answer.
+func TestLostShardDoesNotEndTheOtherShards(t *testing.T) {
+	is := is.New(t)
+	for n := range 12 {
+		f := newFakeFleet(t, 1, 6)
+		lost := []string{"target-3", "target-4", "target-5"} // All targets of shard 3.
+		var broken atomic.Bool
+		f.targets.serve = func(_ context.Context, target string, req *targetapi.SearchRequest) (*targetapi.SearchReply, error) {
+			if f.targets.countRuns(func(targetapi.SearchRequest) bool { return true }) == 0 {
+				return f.targets.run(req), nil
+			}
+			if slices.Contains(lost, target) {
+				if req.Shard == 3 && !broken.Swap(true) {
+					return nil, status.New(status.ConnectionFailed, status.Unknown, "connection reset")
+				}
+				return nil, status.New(status.ConnectionFailed, status.NotRun, "connection refused")
+			}
+			time.Sleep(10 * time.Millisecond)
+			return f.targets.run(req), nil
+		}
+		f.targets.reachable = func(target string) bool { return !slices.Contains(lost, target) }
+		got := f.search(0, testKeyAsan, idempotentSearch(fmt.Sprint("search ", n)))
+		is.Equal(got.status, 200)
+		is.True(len(got.answer.Results) >= 3)
+	}
+}
+
 // Guards against the refusal of a request that a target has answered, because another request
 // crashed the target of its isolated run.
 func TestAnsweredRequestSurvivesACrashDuringItsIsolatedRun(t *testing.T) {
