Simulate detached entries and restored lists in the load model

Change: the load detached partitions two thirds of the entries from all targets for 5 s, restored replaces the list of targets by that of a backup. balsam-load model and the played loads run both; NoDetour and NoReconciliation switch the answer to each off.

--- a/internal/loadmodel/caller.go
+++ b/internal/loadmodel/caller.go
@@ -84,7 +84,7 @@
 func (s *simulation) outcomeOf(k Kind, result *engine.Result, err error, c callOutcome) callOutcome {
 	c.refused, c.failed = isRefusal(err), err != nil
 	if err == nil {
-		c.coverage = float64(result.Answered) / float64(len(s.snapshot.Shards))
+		c.coverage = float64(result.Answered) / float64(s.load.Shards)
 	}
 	return c
 }
@@ -93,6 +93,8 @@
 func (s *simulation) sendSearch(entry int, k Kind, firstCall, deadline time.Time, rng *rand.Rand) (*engine.Result, error) {
 	time.Sleep(callerOneWayDelay)
 	defer time.Sleep(callerOneWayDelay)
+	entry = s.runningEntry(entry)
+	snapshot := s.lists[entry].snapshot.Load()
 	req := &engine.Request{
 		ID: "model", Service: k.Name, Arrival: time.Now(), Deadline: deadline.Add(-2 * callerOneWayDelay), SkipAdmission: true,
 		Contract: engine.Contract{
@@ -102,9 +104,9 @@
 			MaxRuns:         maxRuns,
 			MaxFanout:       unlimited,
 		},
-		Groups: s.groups, GroupTargets: s.snapshot.Shards,
+		Groups: s.groups, GroupTargets: snapshot.Shards,
 		Priority: k.Priority,
-		Work:     &search{sim: s, kind: k, entry: entry, rng: rand.New(rand.NewPCG(rng.Uint64(), 6))},
+		Work:     &search{sim: s, kind: k, entry: entry, snapshot: snapshot, rng: rand.New(rand.NewPCG(rng.Uint64(), 6))},
 	}
 	if waited := time.Since(firstCall) - callerOneWayDelay; !s.load.HideWaited && float64(waited) > minReportedWait*float64(k.Goal) {
 		req.Waited = waited
@@ -119,7 +121,8 @@
 	sim  *simulation
 	kind Kind
 	// entry is the number of the entry that runs the search.
-	entry int
+	entry    int
+	snapshot *index.Snapshot
 
 	mu sync.Mutex
 	// rng is guarded by mu.
@@ -128,7 +131,7 @@
 
 // ChooseSnapshot implements engine.Work.
 func (s *search) ChooseSnapshot(func(string) bool, func(ids.Snapshot) bool) (*index.Snapshot, int, bool) {
-	return s.sim.snapshot, len(s.sim.snapshot.Shards), true
+	return s.snapshot, len(s.snapshot.Shards), true
 }
 
 // StartMerge implements engine.Work.
@@ -147,6 +150,10 @@
 		return nil, err
 	}
 	sent, target := e.Self().Clock(), s.sim.result.Targets[a.Target]
+	if s.sim.cut(s.entry) {
+		<-ctx.Done()
+		return nil, contextError(ctx)
+	}
 	if err := target.simulateAttempt(ctx, s.sim.now, s.drawServiceTime()); err != nil {
 		return nil, err
 	}
@@ -168,17 +175,21 @@
 
 // connections simulates connections to the targets, which succeed if the target is up and not
 // partitioned. It implements engine.Connections.
-type connections struct{ sim *simulation }
+type connections struct {
+	sim *simulation
+	// entry is the number of the entry that opens the connections.
+	entry int
+}
 
 // Reachable implements engine.Connections.
 func (c connections) Reachable(ctx context.Context, target string) bool {
 	t := c.sim.result.Targets[target]
-	if t.partitioned(c.sim.now()) {
+	if t.partitioned(c.sim.now()) || c.sim.cut(c.entry) {
 		<-ctx.Done()
 		return false
 	}
 	time.Sleep(2 * targetOneWayDelay)
-	return !t.Down
+	return !t.isDown(c.sim.now())
 }
 
 // DropIdle implements engine.Connections.
--- a/internal/loadmodel/load.go
+++ b/internal/loadmodel/load.go
@@ -20,13 +20,14 @@
 	"github.com/rs/zerolog"
 
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
+	"github.com/balsamstall/balsamstall/coordination/restore"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/ids"
-	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
 )
 
 // Parameters of the simulated deployment, which resembles those of the users.
@@ -81,18 +82,30 @@
 	ReturningRate float64
 	// HideWaited hides from the entries how long callers have waited.
 	HideWaited bool
+	// Detached is the number of entries, the first ones, that are partitioned from all targets between
+	// DetachedStart and DetachedEnd. NoDetour keeps peers from serving their requests.
+	Detached                   int
+	DetachedStart, DetachedEnd time.Duration
+	NoDetour                   bool
+	// RestoredAt is the time at which the list of targets is restored from a backup. Zero means
+	// never. NoReconciliation makes the entries use the restored list as it is.
+	RestoredAt       time.Duration
+	NoReconciliation bool
 	// SetupTarget, if set, adjusts a target before the start. Shards and replicas count from 0.
 	SetupTarget func(shard, replica int, t *Target)
 }
 
 // simulation is the state of one run of a load.
 type simulation struct {
-	load     *Load
-	result   *Result
-	start    time.Time
-	snapshot *index.Snapshot
-	groups   []string
-	engines  []*engine.Engine
+	load   *Load
+	result *Result
+	start  time.Time
+	groups []string
+	// targets lists all targets.
+	targets []targetlist.Target
+	engines []*engine.Engine
+	// lists holds the list of targets of each entry.
+	lists []*entryList
 }
 
 func (s *simulation) now() time.Duration { return time.Since(s.start) }
@@ -106,6 +119,9 @@
 	if l.ReturningRate > 0 {
 		running.Go(func() { s.simulateReturningCallers(rand.New(rand.NewPCG(seed, 2))) })
 	}
+	if l.RestoredAt > 0 {
+		running.Go(s.simulateRestore)
+	}
 	for s.now() < l.Duration {
 		k, gap := l.nextCall(s.now(), rng)
 		time.Sleep(gap)
@@ -120,11 +136,8 @@
 // createFleet creates the targets and the entries.
 func (s *simulation) createFleet(seed uint64, rng *rand.Rand) {
 	l := s.load
-	catalogue := &engine.Catalogue{Entries: l.Entries, Homes: l.Entries, Repeats: fleetRepeats}
-	s.snapshot = &index.Snapshot{Snapshot: ids.Snapshot{IndexVersion: 1, ShardMapEpoch: 1}}
 	for shard := range l.Shards {
 		group := fmt.Sprintf("shard-%d", shard)
-		var names []string
 		for replica := range l.Replicas {
 			name := TargetName(shard, replica)
 			t := &Target{Slots: targetSlots, MaxQueue: targetMaxQueue, Slowdown: 1, PauseDuration: pauseDuration, PauseInterval: pauseInterval,
@@ -134,24 +147,21 @@
 				l.SetupTarget(shard, replica, t)
 			}
 			s.result.Targets[name] = t
-			names = append(names, name)
-			catalogue.Targets = append(catalogue.Targets, engine.CatalogueTarget{ID: name, Zone: fmt.Sprint(replica), Slots: t.Slots})
+			s.targets = append(s.targets, targetlist.Target{ID: name, Started: 1, Group: group, Zone: fmt.Sprint(replica), Slots: t.Slots})
 		}
 		s.groups = append(s.groups, group)
-		s.snapshot.Shards = append(s.snapshot.Shards, names)
-		catalogue.Groups = append(catalogue.Groups, engine.CatalogueGroup{Name: group, RepeatMinimumFraction: 1 / float64(l.Entries), Slots: targetSlots * l.Replicas})
 	}
 	for _, k := range l.Kinds {
-		catalogue.Services = append(catalogue.Services, engine.CatalogueService{Name: k.Name, Priority: 1, MaxConcurrency: unlimited, MaxQueue: unlimited, Shards: l.Shards})
 		s.result.kinds[k.Name] = &Outcome{}
 	}
 	s.result.kinds[ReturningKind] = &Outcome{}
 	var fleet targetrate.Fleet
 	for i := range l.Entries {
 		self := engine.Identity{Entry: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprint(i % zones), Incarnation: ids.NewIncarnation(), Start: s.start.Add(-time.Hour)}
-		e := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: connections{s}, FingerprintKey: []byte("model"), PolicyOn: true, Metrics: &engine.Metrics{}, Tokens: s.callPeer})
-		e.SetCatalogue(catalogue)
-		s.engines = append(s.engines, e)
+		e := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: connections{s, i}, FingerprintKey: []byte("model"), PolicyOn: true, Metrics: &engine.Metrics{}, Tokens: s.callPeer,
+			ReachedTargets: func(context.Context) []string { return s.reachedByPeers(i) }})
+		s.engines, s.lists = append(s.engines, e), append(s.lists, &entryList{reconciler: restore.New(restore.DefaultSettings())})
+		s.setList(i, 1, s.targets)
 		fleet.Entries = append(fleet.Entries, ratelimit.Entry{ID: self.Entry, Zone: self.Zone, Address: fmt.Sprint(i)})
 	}
 	for _, e := range s.engines {
--- a/internal/loadmodel/loads.go
+++ b/internal/loadmodel/loads.go
@@ -12,7 +12,7 @@
 }
 
 // Names lists the names that Named accepts.
-var Names = []string{"calm", "slow", "crest", "lost", "shed", "partition", "outage", "limited"}
+var Names = []string{"calm", "slow", "crest", "lost", "shed", "partition", "outage", "limited", "detached", "restored"}
 
 // Named returns the load of the given name for a number of entries, or nil for an unknown name.
 // The users' heaviest days consist of these loads.
@@ -60,6 +60,19 @@
 				t.RateLimit, t.RateLimitStart = 15, 2*time.Second
 			}
 		}
+	case "detached": // Most entries are partitioned from all targets for 5 s; their callers do not know.
+		l.Duration, l.Amplitude, l.Kinds = 12*time.Second, 0, SearchKinds(0.5)
+		l.Detached, l.DetachedStart, l.DetachedEnd = (2*entries)/3, 3*time.Second, 8*time.Second
+	case "restored": // The list of targets is restored from a backup.
+		l.Duration, l.Amplitude, l.Kinds = 10*time.Second, 0, SearchKinds(0.5)
+		l.RestoredAt = 3 * time.Second
+		l.SetupTarget = func(shard, replica int, t *Target) {
+			// The backup has no target of replica 2, and those of replica 1 that have ended since.
+			if replica == 1 && shard%2 == 0 {
+				t.EndsAt = 2500 * time.Millisecond
+			}
+			t.StartedAfterBackup = replica == 2
+		}
 	default:
 		return nil
 	}
--- a/internal/loadmodel/target.go
+++ b/internal/loadmodel/target.go
@@ -32,6 +32,11 @@
 	// requests per second. Zero means none.
 	RateLimit      float64
 	RateLimitStart time.Duration
+	// EndsAt is the time at which the target leaves and refuses connections from then on. Zero means
+	// never.
+	EndsAt time.Duration
+	// StartedAfterBackup is set if the backup of Load.RestoredAt lacks the target.
+	StartedAfterBackup bool
 	// PartitionStart and PartitionEnd bound a partition, during which bytes to the target are lost.
 	PartitionStart, PartitionEnd time.Duration
 
@@ -44,6 +49,8 @@
 	busy    time.Duration
 	// lost counts the attempts that were lost in a partition.
 	lost int
+	// refusedAt holds the times of the attempts that came after the end of the target.
+	refusedAt []time.Duration
 	// arrivals holds the times at which attempts arrived while the target stated a rate limit.
 	arrivals []time.Duration
 }
@@ -64,6 +71,20 @@
 	return Counts{Served: t.served, Running: t.running, Lost: t.lost, Busy: t.busy}
 }
 
+// RefusedAfterEnd returns the number of attempts that a target which has ended refused from the given time
+// on.
+func (t *Target) RefusedAfterEnd(from time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, at := range t.refusedAt {
+		if at >= from {
+			n++
+		}
+	}
+	return n
+}
+
 // MaxArrivals returns the largest number of attempts that arrived within any window that begins after
 // the target had stated its rate limit for the grace time.
 func (t *Target) MaxArrivals(grace, window time.Duration) int {
@@ -90,6 +111,8 @@
 	return requestrate.Rate{Stated: true, PerSecond: t.RateLimit}
 }
 
+func (t *Target) isDown(now time.Duration) bool { return t.Down || t.EndsAt > 0 && now >= t.EndsAt }
+
 func (t *Target) partitioned(now time.Duration) bool {
 	return t.PartitionStart <= now && now < t.PartitionEnd
 }
@@ -140,7 +163,10 @@
 		t.arrivals = append(t.arrivals, now())
 	}
 	switch {
-	case t.Down:
+	case t.isDown(now()):
+		if t.EndsAt > 0 {
+			t.refusedAt = append(t.refusedAt, now())
+		}
 		t.mu.Unlock()
 		time.Sleep(targetOneWayDelay)
 		return status.New(status.ConnectionFailed, status.NotRun, "down")
