Ask peers again while none can tell which targets they reach

Cause: a check whose peers are detached too, or have no replies yet, has no target to test. It cleared the evidence and ended; by then all zones count as unreachable, requests are refused before an attempt, and no attempt causes another check. Change: as long as a zone is unreachable and no peer names a target, the check asks again every 250 ms. Such a check no longer makes later ones rarer. A request that no peer accepts is logged once, with all offers.

--- a/coordination/detached/detached.go
+++ b/coordination/detached/detached.go
@@ -25,7 +25,8 @@
 	UnansweredAfter time.Duration
 	// CheckInterval is the minimum time between two checks. It doubles with each check that finds a
 	// target reachable, up to MaxCheckInterval, and is reset after a time of MaxCheckInterval
-	// without a suspicion. The defaults are 250 ms and 2 s.
+	// without a suspicion. The defaults are 250 ms and 2 s. A check without candidates says nothing:
+	// the peers that were asked may be detached too.
 	CheckInterval, MaxCheckInterval time.Duration
 	// Successes is the number of consecutive successful probes after which a detached entry is
 	// attached again. It doubles each time the entry becomes detached within FlapPeriod of its last
@@ -127,8 +128,10 @@
 	clear(d.refused)
 	clear(d.unanswered)
 	d.nextCheck = now + d.checkInterval
-	if reached > 0 || candidates == 0 {
+	if reached > 0 {
 		d.checkInterval = min(2*d.checkInterval, d.settings.MaxCheckInterval)
+	}
+	if reached > 0 || candidates == 0 {
 		return false
 	}
 	d.needed = d.settings.Successes
--- a/internal/engine/detached.go
+++ b/internal/engine/detached.go
@@ -29,6 +29,8 @@
 	// silentPeriod is the time without any reply after which attempts on open connections count as lost
 	// once the entry is detached. Connections that were opened before may work on meanwhile.
 	silentPeriod = 100 * time.Millisecond
+	// candidatesInterval is the time after which peers are asked again if none has named a target.
+	candidatesInterval = 250 * time.Millisecond
 	// candidatesPeriod is the time for which a detached entry probes the same candidates.
 	candidatesPeriod = time.Second
 )
@@ -172,7 +174,7 @@
 // checkAttachment opens connections to targets that peers have just reached. This entry is detached
 // if none can be opened.
 func (e *Engine) checkAttachment() {
-	candidates := e.reachedByPeers()
+	candidates := e.awaitCandidates()
 	reached := e.countReachable(candidates)
 	e.attachment.mu.Lock()
 	isDetached := e.attachment.detector.FinishCheck(e.self.Clock(), len(candidates), reached)
@@ -185,6 +187,19 @@
 	}
 }
 
+// awaitCandidates returns targets that peers have just reached. As long as no peer names any and a zone is
+// unreachable, it asks again: the peers that were asked may be detached too, and no attempt would cause
+// another check, because requests to unreachable zones are refused before.
+func (e *Engine) awaitCandidates() []string {
+	for {
+		candidates := e.reachedByPeers()
+		if len(candidates) > 0 || e.zones.unreachableCount.Load() == 0 {
+			return candidates
+		}
+		time.Sleep(candidatesInterval)
+	}
+}
+
 // reachedByPeers returns known targets that peers have just reached.
 func (e *Engine) reachedByPeers() []string {
 	ctx, cancel := context.WithTimeout(context.Background(), reachedTimeout)
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -47,18 +47,10 @@
 func (f *forwarder) detour(ctx context.Context, req *relayapi.Request, p *plan, route *route, engineReq *engine.Request) *relayapi.Answer {
 	o := offering{req: req, engineReq: engineReq, start: f.gatherStart(req, p, route), timeout: detourOfferTimeout, message: detourMessage}
 	o.start.Detour = true
-	for _, e := range f.detourOrder(route.layout != nil) {
-		f.addRunning(e.ID, 1)
-		answer := f.offer(ctx, &o, []homes.Entry{e})
-		f.addRunning(e.ID, -1)
-		if answer != nil || ctx.Err() != nil {
-			return answer
-		}
-	}
-	return nil
+	return f.offer(ctx, &o, f.detourOrder(route.layout != nil))
 }
 
-// addRunning changes the number of requests that a peer runs because this entry reaches no target.
+// addRunning changes the number of requests that another entry runs for this one.
 func (f *forwarder) addRunning(peer string, change int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -61,7 +61,7 @@
 	backoff homes.Backoff
 	// peers lists the entries that run requests while this entry reaches no target. Guarded by mu.
 	peers []detour.Peer
-	// running counts the requests that peers run because this entry reaches no target. Guarded by mu.
+	// running counts the requests that other entries run for this one. Guarded by mu.
 	running map[string]int
 	// newestSheet is the highest sheet revision under which a home ran a request of this entry.
 	// Guarded by mu.
@@ -136,7 +136,9 @@
 func (f *forwarder) offer(ctx context.Context, o *offering, entries []homes.Entry) *relayapi.Answer {
 	for _, e := range entries {
 		start := time.Now()
+		f.addRunning(e.ID, 1)
 		gathered, err := f.homes.Gather(ctx, e.Address, o.start, o.timeout)
+		f.addRunning(e.ID, -1)
 		f.recordOffer(e.ID, gathered, err)
 		o.tried.add(e.ID, time.Since(start), err)
 		if err == nil {
@@ -159,7 +161,7 @@
 			break
 		}
 	}
-	if len(o.tried) > 0 {
+	if len(o.tried) > 0 || o.start.Detour {
 		f.logForward(o, nil)
 	}
 	return nil
