Name detours and eras in balsam-ctl explain

Cause: the line about a request of an entry that reaches no target was explained as one offered to homes, and target lists with an era were not recognised. Change: explain says that the entry reaches no target, which peers the request was offered to, and the era of the target list. Result: TestExplainNamesDetoursAndEras passes.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -102,10 +102,8 @@
 	var decisions []decision
 	err := readLog(in, func(l *logLine) {
 		if l.Kind == "document_accepted" {
-			var v documentVersion
-			if n, _ := fmt.Sscanf(l.Detail, "%s revision %d", &v.key, &v.revision); n == 2 {
-				v.entry = l.Entry
-				accepted[v] = decision{l.Time, l.Entry, fmt.Sprintf("%s revision %d came into force, from %s", v.key, v.revision, l.Actor)}
+			if key, version, revision, ok := parseDocument(l.Detail); ok {
+				accepted[documentVersion{l.Entry, key, revision}] = decision{l.Time, l.Entry, fmt.Sprintf("%s %s came into force, from %s", key, version, l.Actor)}
 			}
 			return
 		}
@@ -124,6 +122,17 @@
 	return decisions, err
 }
 
+// parseDocument returns the key and the version of an accepted document. The version of a target list
+// from a platform that counts the restores of its store names the era too.
+func parseDocument(detail string) (key, version string, revision uint64, ok bool) {
+	var era uint64
+	if n, _ := fmt.Sscanf(detail, "%s era %d revision %d", &key, &era, &revision); n == 3 {
+		return key, fmt.Sprintf("era %d revision %d", era, revision), revision, true
+	}
+	n, _ := fmt.Sscanf(detail, "%s revision %d", &key, &revision)
+	return key, fmt.Sprintf("revision %d", revision), revision, n == 2
+}
+
 // openLog opens a log file, or standard input for "-".
 func openLog(name string) (io.ReadCloser, error) {
 	if name == "-" {
@@ -157,7 +166,7 @@
 
 // decisions returns the decisions that the line records.
 func (l *logLine) decisions() []decision {
-	if len(l.Offers) > 0 {
+	if len(l.Offers) > 0 || l.Message == detourMessage {
 		return l.offerDecisions()
 	}
 	if l.Message != "request" {
@@ -185,19 +194,28 @@
 	return append(decisions, decision{l.Time, l.Entry, text})
 }
 
-// offerDecisions returns the decisions about a request that was offered to homes.
+// detourMessage is the text of the log line about a request of an entry that reaches no target.
+const detourMessage = "request offered to peers because this entry reaches no target"
+
+// offerDecisions returns the decisions about a request that was offered to homes, or to peers because the
+// entry reaches no target.
 func (l *logLine) offerDecisions() []decision {
 	var decisions []decision
+	receiver, otherwise := "home", "no home accepted it; it runs on this entry"
+	if l.Message == detourMessage {
+		decisions = append(decisions, decision{l.Time, l.Entry, "this entry reaches no target"})
+		receiver, otherwise = "peer", "no peer accepted it"
+	}
 	for _, offer := range l.Offers {
-		home, rest, _ := strings.Cut(offer, "+")
+		name, rest, _ := strings.Cut(offer, "+")
 		took, code, _ := strings.Cut(rest, "=")
-		decisions = append(decisions, decision{l.Time, l.Entry, fmt.Sprintf("offered to home %s, %s after %s ms", home, code, took)})
+		decisions = append(decisions, decision{l.Time, l.Entry, fmt.Sprintf("offered to %s %s, %s after %s ms", receiver, name, code, took)})
 	}
 	switch {
 	case l.Code != "":
-		decisions = append(decisions, decision{l.Time, l.Entry, fmt.Sprintf("failed at the home: %s (%s), outcome %s", l.Code, l.Detail, l.Outcome)})
-	case !strings.HasSuffix(l.Offers[len(l.Offers)-1], "=ok"):
-		decisions = append(decisions, decision{l.Time, l.Entry, "no home accepted it; it runs on this entry"})
+		decisions = append(decisions, decision{l.Time, l.Entry, fmt.Sprintf("failed at the %s: %s (%s), outcome %s", receiver, l.Code, l.Detail, l.Outcome)})
+	case len(l.Offers) == 0 || !strings.HasSuffix(l.Offers[len(l.Offers)-1], "=ok"):
+		decisions = append(decisions, decision{l.Time, l.Entry, otherwise})
 	}
 	return decisions
 }
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -72,3 +72,28 @@
 	is.NoErr(err)
 	is.Equal(len(decisions), 0)
 }
+
+// Guards against an explanation that does not say that the entry reached no target, or that attributes a
+// request to a target list of another era.
+func TestExplainNamesDetoursAndEras(t *testing.T) {
+	is := is.New(t)
+	log := `{"entry":"p-1","kind":"document_accepted","actor":"platform","detail":"targets era 2 revision 17 digest ab: accept","message":"audit"}
+{"entry":"e-1","request_id":"id-1","offers":["p-2+2=no_replica","p-1+9=ok"],"message":"request offered to peers because this entry reaches no target"}
+{"entry":"p-1","request_id":"id-1","service":"one","targets":17,"answered":1,"shards":1,"took_ms":8,"goal_ms":5,"deadline_ms":990,"attempts":"0:i-1@0+8=ok","message":"request"}
+{"entry":"e-1","request_id":"id-2","offers":[],"message":"request offered to peers because this entry reaches no target"}
+`
+	for id, want := range map[string][]string{
+		"id-1": {"this entry reaches no target", "offered to peer p-2, no_replica after 2 ms", "offered to peer p-1, ok after 9 ms",
+			"targets era 2 revision 17 came into force, from platform", "service one with sheet 0 and targets 17: goal 5 ms, deadline 990 ms",
+			"  shard 0 at 0 ms: sent to i-1, ok after 8 ms", "answered with 1 of 1 shards after 8 ms"},
+		"id-2": {"this entry reaches no target", "no peer accepted it"},
+	} {
+		decisions, err := explain(strings.NewReader(log), id)
+		is.NoErr(err)
+		var text []string
+		for _, d := range decisions {
+			text = append(text, d.Text)
+		}
+		is.Equal(text, want)
+	}
+}
