--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -24,6 +24,9 @@
 	FaultCut Fault = "cut"
 	// FaultRate sets the limit on calls per second.
 	FaultRate Fault = "rate"
+	// FaultRestore restores the documents from a backup that lacks the newest Back versions. The
+	// version counters continue from the backup, so versions are used again. It cannot be removed.
+	FaultRestore Fault = "restore"
 	// FaultClear removes every fault, which restores the lag and the rate limit of the settings.
 	FaultClear Fault = "clear"
 )
@@ -53,10 +56,10 @@
 	DurationMS int64 `json:"duration_ms,omitempty"`
 	// Mode is the way in which an outage fails calls (outage). The default is "unavailable".
 	Mode Mode `json:"mode,omitempty"`
-	// Key restricts the fault to one document (stale). Empty means all documents.
+	// Key restricts the fault to one document (stale, restore). Empty means all documents.
 	Key string `json:"key,omitempty"`
-	// Back is the number of versions by which the stale replica is behind the newest version at the
-	// time of the command (stale).
+	// Back is the number of versions by which the stale replica or the backup is behind the newest
+	// version at the time of the command (stale, restore).
 	Back uint64 `json:"back,omitempty"`
 	// Fraction is the fraction of the calls that the stale replica answers, from 0 to 1 (stale). Zero
 	// means all.
@@ -79,7 +82,7 @@
 }
 
 var (
-	allFaults = []Fault{FaultOutage, FaultStale, FaultHostsLag, FaultCut, FaultRate, FaultClear}
+	allFaults = []Fault{FaultOutage, FaultStale, FaultHostsLag, FaultCut, FaultRate, FaultRestore, FaultClear}
 	allModes  = []Mode{ModeUnavailable, ModeReset, ModeHang, ModeRefuse}
 )
 
@@ -127,6 +130,8 @@
 		for _, fault := range allFaults {
 			p.removeFault(fault, nil)
 		}
+	case cmd.Fault == FaultRestore:
+		p.restore(cmd)
 	case cmd.Off:
 		p.removeFault(cmd.Fault, nil)
 	default:
@@ -158,6 +163,19 @@
 	}
 }
 
+// restore drops the newest versions of documents. The oldest version of each stays.
+func (p *Platform) restore(cmd Command) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, versions := range p.documents {
+		if cmd.Key == "" || cmd.Key == key {
+			kept := len(versions) - int(min(cmd.Back, uint64(len(versions)-1)))
+			p.documents[key] = slices.Clone(versions[:kept])
+		}
+	}
+	p.notifyWatches()
+}
+
 // removeFault ends a fault and undoes its changes. If expected is not nil, it does so only while
 // expected is the active fault.
 func (p *Platform) removeFault(fault Fault, expected *activeFault) {
--- a/internal/standin/platform/faults_test.go
+++ b/internal/standin/platform/faults_test.go
@@ -114,6 +114,25 @@
 	is.True(strings.Contains(<-watch, `"version":3`))
 }
 
+// Guards against a restore that keeps the changes since the backup or does not use their versions again.
+func TestRestore(t *testing.T) {
+	is := is.New(t)
+	p := startPlatform(t, NewSettings(""))
+	for _, value := range []string{`1`, `2`, `3`} {
+		_, err := p.Publish("sheet", []byte(value))
+		is.NoErr(err)
+	}
+	get := func() string {
+		_, body := call(t, p, "GET", "/v1/config/sheet", "")
+		return body
+	}
+	is.NoErr(p.Apply(Command{Fault: FaultRestore, Back: 2}))
+	is.True(strings.Contains(get(), `"version":1,"value":1`))
+	_, err := p.Publish("sheet", []byte(`4`))
+	is.NoErr(err)
+	is.True(strings.Contains(get(), `"version":2,"value":4`))
+}
+
 // Guards against a cut that affects other entries or the control interface.
 func TestCut(t *testing.T) {
 	is := is.New(t)
