--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -37,14 +37,14 @@
 	revisionPollInterval = 5 * time.Millisecond
 )
 
-// HomeClient runs gathered requests on other entries. peerrpc.Pool implements it.
+// HomeClient runs requests on other entries. peerrpc.Pool implements it.
 type HomeClient interface {
 	// Gather runs a request on the entry at address, which must offer to run it within offerTimeout.
 	// The outcome of an error is NotRun as long as the entry has not been told to start.
 	Gather(ctx context.Context, address string, start *peerpb.GatherStart, offerTimeout time.Duration) (*peerrpc.GatherResult, error)
 }
 
-// forwarder offers gathered requests to homes.
+// forwarder offers gathered requests to homes, and all requests to peers while this entry reaches no target.
 type forwarder struct {
 	homes  HomeClient
 	engine *engine.Engine
--- a/transport/peerrpc/gather.go
+++ b/transport/peerrpc/gather.go
@@ -9,8 +9,8 @@
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
-// GatherResult is the result of a request that ran on a home, an entry that runs requests for all
-// entries of its zone.
+// GatherResult is the result of a request that ran on another entry: a home, which runs requests for all
+// entries of its zone, or a peer of an entry that reaches no target.
 type GatherResult struct {
 	Answer *peerpb.GatherAnswer
 	// SheetRevision is the revision of the sheet under which the request ran.
