--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -1,7 +1,7 @@
 // Package configsync keeps the configuration documents of an entry, such as the sheet and the
 // index, up to date. It reads and watches the platform, exchanges document digests with peers and
-// fetches newer documents from any source that has them. The current revision of a document never
-// decreases.
+// fetches newer documents from any source that has them. The current version of a document, which is its
+// revision within the era of the platform, never decreases.
 //
 // The exchanges with peers also carry the short-lived facts of the engine: quarantines, crashes,
 // leaving targets, successions and failing targets.
@@ -68,9 +68,9 @@
 	WatchWait time.Duration
 	// MaxBackoff limits the backoff after failed calls to the platform. The default is 30 s.
 	MaxBackoff time.Duration
-	// MonotonicPlatform is set for a platform that never reverts to an earlier state. Its
-	// documents do not need a full read after a failed call, and a starting entry reads it
-	// concurrently with its peers.
+	// MonotonicPlatform is set for a platform whose document versions never revert, because its client
+	// detects that the platform was restored to an earlier state. Its documents do not need a full
+	// read after a failed call, and a starting entry reads it concurrently with its peers.
 	MonotonicPlatform bool
 	// WatchGrace is the time after startup during which an entry that is not a seed does not
 	// watch. Without it all entries of a starting fleet would watch until they know each other.
