Do not empty a group after a restore because of expired registrations

Cause: a registration that ended without a statement may have expired during an outage while its target lived. Found by reading. Change: such targets are left out only if their group has others. Result: TestExpiredRegistrationsDoNotEmptyAGroup fails without the change and passes.

--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -147,9 +147,25 @@
 			r.kept[id] = keptTarget{target: t, until: now + r.settings.Settle}
 		}
 	}
+	return r.findDeparted(given)
+}
+
+// findDeparted returns the listed targets that had left. A registration that ended without a statement may
+// have expired while its target lived, so such targets are left out if their group has no others.
+func (r *Reconciler) findDeparted(given map[string]targetlist.Target) []notice.Report {
+	usable := make(map[string]bool) // By group.
+	for _, k := range r.kept {
+		usable[k.target.Group] = true
+	}
+	for _, t := range given {
+		if _, left := r.departures[incarnationOf(t)]; !left && !t.Leaving {
+			usable[t.Group] = true
+		}
+	}
 	var departed []notice.Report
 	for _, t := range given {
-		if d, ok := r.departures[incarnationOf(t)]; ok && !t.Leaving {
+		d, left := r.departures[incarnationOf(t)]
+		if left && !t.Leaving && (d.stated || usable[t.Group]) {
 			departed = append(departed, notice.Report{Target: incarnationOf(t), Stated: d.stated, Remaining: r.settings.Hold})
 		}
 	}
--- a/coordination/restore/restore_test.go
+++ b/coordination/restore/restore_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// Guards against a group without targets because their registrations expired during an outage before.
+func TestExpiredRegistrationsDoNotEmptyAGroup(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultSettings())
+	other := target("other", 3)
+	other.Group = "h"
+	r.Apply(0, listAt(1, 7, target("a", 1), target("b", 2), other))
+	r.Apply(time.Second, listAt(1, 8, other))
+	restored := r.Apply(2*time.Second, listAt(2, 5, target("a", 1), target("b", 2), other))
+	is.Equal(idsOf(restored), map[string]int64{"a": 1, "b": 2, "other": 3})
+}
+
 func BenchmarkApply(b *testing.B) {
 	var list []targetlist.Target
 	for i := range 200 {
