--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -56,6 +57,16 @@
 			code = 2
 		}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		for _, e := range d.entries {
+			e.kill()
+		}
+		os.RemoveAll(dir)
+		os.Exit(2)
+	}()
 	d.store = newStore(d.ip(1, 1), d.logf)
 	broken := cases[name](d)
 	d.logf("rule broken: %v", broken)
