Give documents one size limit on all paths

Cause: a configuration of up to 1,048,576 bytes, which the platform stores, becomes a sheet of twice that size and more. Running entries bounded the sheet by 1,048,576 bytes (delta), entries that start by 1,000,000 (document.Decode). Change: document.MaxSize is the only limit, 8 times the platform's limit for a value; delta, transfers and messages between entries use it. The format of the sheet is unchanged, so that entries of earlier builds read it.

--- a/coordination/delta/delta.go
+++ b/coordination/delta/delta.go
@@ -4,6 +4,7 @@
 	"bytes"
 
 	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/cespare/xxhash/v2"
@@ -111,8 +112,8 @@
 		if err := b.writeField(base, f); err != nil {
 			return nil, err
 		}
-		if len(b.doc.compact) >= MaxBytes {
-			return nil, status.New(status.TooLarge, "", "delta result exceeds %d bytes", MaxBytes)
+		if len(b.doc.compact) >= document.MaxSize {
+			return nil, status.New(status.TooLarge, "", "delta result exceeds %d bytes", document.MaxSize)
 		}
 	}
 	b.byte('}')
@@ -185,8 +186,8 @@
 	for _, raw := range run.Elements {
 		b.writeElement(s, element{hash: xxhash.Sum64(raw), raw: raw})
 	}
-	if len(b.doc.compact) > MaxBytes {
-		return status.New(status.TooLarge, "", "delta result exceeds %d bytes", MaxBytes)
+	if len(b.doc.compact) > document.MaxSize {
+		return status.New(status.TooLarge, "", "delta result exceeds %d bytes", document.MaxSize)
 	}
 	return nil
 }
--- a/coordination/delta/document.go
+++ b/coordination/delta/document.go
@@ -19,13 +19,11 @@
 	"strconv"
 
 	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/cespare/xxhash/v2"
 )
 
-// MaxBytes is the maximum size of a compact document, which is the platform's limit for a value.
-const MaxBytes = 1 << 20
-
 // Document is an immutable JSON document in compact form, split into parts that share its memory.
 type Document struct {
 	compact []byte
@@ -47,7 +45,7 @@
 	raw  []byte
 }
 
-// New parses a JSON object of at most MaxBytes in compact form. It does not retain data. White space
+// New parses a JSON object of at most document.MaxSize bytes in compact form. It does not retain data. White space
 // between tokens does not affect the digest.
 func New(data []byte) (*Document, error) {
 	var buffer bytes.Buffer
@@ -55,8 +53,8 @@
 	if err := json.Compact(&buffer, data); err != nil {
 		return nil, status.Wrap(err, status.InvalidArgument, "", "document is not valid JSON")
 	}
-	if buffer.Len() > MaxBytes {
-		return nil, status.New(status.TooLarge, "", "document has %d bytes, which exceeds the limit of %d", buffer.Len(), MaxBytes)
+	if buffer.Len() > document.MaxSize {
+		return nil, status.New(status.TooLarge, "", "document has %d bytes, which exceeds the limit of %d", buffer.Len(), document.MaxSize)
 	}
 	doc := &Document{compact: buffer.Bytes()}
 	fields, err := splitObject(doc.compact)
--- a/internal/configsync/transfer.go
+++ b/internal/configsync/transfer.go
@@ -12,6 +12,7 @@
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/revision"
 	"github.com/balsamstall/balsamstall/internal/configsync/documents"
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -22,7 +23,7 @@
 	minCompressBytes = 1024
 	// maxTransferBytes limits a value or delta after decompression. A delta may contain all
 	// elements of a document and some framing for each.
-	maxTransferBytes = 2 * delta.MaxBytes
+	maxTransferBytes = 2 * document.MaxSize
 	// maxTransfers limits the encoded replies cached for one document: one for each recent base,
 	// and the full document with and without compression.
 	maxTransfers = documents.HistoryLength + 2
--- a/internal/ctl/sheet.go
+++ b/internal/ctl/sheet.go
@@ -52,6 +52,17 @@
 	return err
 }
 
+// checkValueSize returns a *document.Error if the platform does not store a document because of its size.
+func checkValueSize(kind string, data []byte) error {
+	if len(data) <= document.MaxValueSize {
+		return nil
+	}
+	return &document.Error{Kind: kind, Faults: []document.Fault{{
+		Value:   fmt.Sprintf("%d bytes", len(data)),
+		Allowed: fmt.Sprintf("at most %d bytes, the largest value of the platform", document.MaxValueSize),
+	}}}
+}
+
 // check returns the results of the sheet and, if it has no faults, of the index.
 func (c *SheetCheckCommand) check() ([]checkResult, error) {
 	data, err := readDocument(c.File)
@@ -59,6 +70,9 @@
 		return nil, err
 	}
 	s, err := sheet.Parse(data)
+	if err == nil {
+		err = checkValueSize("sheet", data)
+	}
 	if err != nil {
 		return []checkResult{invalidResult(c.File, err)}, err
 	}
@@ -71,6 +85,9 @@
 		return nil, err
 	}
 	d, err := index.Parse(data)
+	if err == nil {
+		err = checkValueSize("index", data)
+	}
 	if err == nil {
 		if faults := d.CheckAgainst(s); len(faults) > 0 {
 			err = &document.Error{Kind: "index", Faults: faults}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -15,12 +15,13 @@
 	"golang.org/x/time/rate"
 
 	"github.com/balsamstall/balsamstall/internal/standin/tracked"
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
 // maxValueBytes is the maximum size of a document.
-const maxValueBytes = 1 << 20
+const maxValueBytes = document.MaxValueSize
 
 // maxVersions is the number of versions kept of each document, which a stale replica can serve.
 const maxVersions = 64
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -15,9 +15,16 @@
 	"unicode/utf8"
 )
 
-// MaxSize is the maximum size of a document in bytes. The platform stores values of at most
-// 1 MB.
-const MaxSize = 1_000_000
+const (
+	// MaxValueSize is the maximum size of a value that the platform publishes, in bytes.
+	MaxValueSize = 1 << 20
+	// maxExpansion is the maximum ratio of the size of a document to that of the value that it was
+	// translated from.
+	maxExpansion = 8
+	// MaxSize is the maximum size of a document in bytes. Every document that was translated from a
+	// published value is smaller.
+	MaxSize = maxExpansion * MaxValueSize
+)
 
 // maxShownValue is the maximum length of a value in a fault, in bytes.
 const maxShownValue = 80
--- a/transport/peerrpc/doc.go
+++ b/transport/peerrpc/doc.go
@@ -11,14 +11,15 @@
 	"net"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 )
 
-// MaxMessageBytes bounds one message in either direction. It leaves room for a document of 1 MB
-// and for a part of a journal.
-const MaxMessageBytes = 4 << 20
+// MaxMessageBytes bounds one message in either direction. It leaves room for the largest document, or
+// for a part of a journal, with the other fields of the message.
+const MaxMessageBytes = document.MaxSize + 64<<10
 
 // frameOverheadBytes is added to the reader's limit for the framing of a message.
 const frameOverheadBytes = 64 << 10
--- a/transport/platformhttp/client.go
+++ b/transport/platformhttp/client.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/document"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -23,7 +24,7 @@
 
 const (
 	// MaxValueBytes is the size of the largest value that the platform stores.
-	MaxValueBytes = 1 << 20
+	MaxValueBytes = document.MaxValueSize
 	// maxDocumentBytes bounds the body with a document: the value and the other fields.
 	maxDocumentBytes = MaxValueBytes + 4<<10
 	// maxHostListBytes bounds the host list. A host takes about 100 bytes, so this is enough for
