Count and log refused documents and outdated sheets

Cause: three hypotheses for requests handled by an older version could not be told apart from logs and metrics: the version was refused, it had not reached the entry, or the entry used it late although a home had used it. A refusal was an audit line only, the last one left no line. Change: documents_refused_total and a warning with the fault and both revisions; outdated_sheet_total and a warning when a request has waited for a newer sheet in vain. Result: go test ./internal/configsync ./internal/relay ./internal/entry ./platform/pathtest: passed; TestRefusalsAreRecordedOnce also counts the refusals. Conclusion: no change of behaviour.

--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -187,9 +187,22 @@
 	case revision.Conflict:
 		s.recordConflict(key, v, actor)
 	case revision.TooOld, revision.Faulty:
-		if s.refusals.add(refusal{key, v, decision == revision.Faulty}) {
-			s.deps.Audit.Record(time.Now(), audit.DocumentRefused, actor, detail)
+		if !s.refusals.add(refusal{key, v, decision == revision.Faulty}) {
+			return
 		}
+		s.deps.Audit.Record(time.Now(), audit.DocumentRefused, actor, detail)
+		if decision == revision.Faulty {
+			s.reportInvalid(key, v, actor, fault)
+		}
+	}
+}
+
+// reportInvalid logs and counts an invalid version of a document.
+func (s *Syncer) reportInvalid(key string, v revision.Version, actor string, fault error) {
+	s.deps.Log.Warn().Err(fault).Str("key", key).Uint64("revision", v.Revision).Uint64("current_revision", s.store.Version(key).Revision).
+		Str("source", actor).Msg("document is invalid; the current version stays in force")
+	if s.deps.OnRefused != nil {
+		s.deps.OnRefused(key)
 	}
 }
 
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -187,6 +187,9 @@
 	// OnReadFailure is called for each failed call to the platform with the key of the document,
 	// or with HostListKey. It must not block. It may be nil.
 	OnReadFailure func(key string)
+	// OnRefused is called with the key of the document for each version that is refused as invalid. It must
+	// not block. It may be nil.
+	OnRefused func(key string)
 	// OnChange is called by one goroutine with the latest view after each change. Intermediate
 	// views may be skipped. It may be nil.
 	OnChange func(*View)
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -134,7 +134,8 @@
 func TestRefusalsAreRecordedOnce(t *testing.T) {
 	is := is.New(t)
 	e := &testEntry{trail: audit.New(zerolog.Nop())}
-	s := New(Config{Entry: "e0"}, Deps{Audit: e.trail, ParseSheet: parseSheet, ParseIndex: parseIndex})
+	refused := 0
+	s := New(Config{Entry: "e0"}, Deps{Audit: e.trail, ParseSheet: parseSheet, ParseIndex: parseIndex, OnRefused: func(string) { refused++ }})
 	for range 3 {
 		for _, value := range []string{sheetJSON(2, "one"), sheetJSON(2, "two"), sheetJSON(1, "one"), sheetJSON(3, "faulty"), `{"Revision":9}`} {
 			content, err := delta.New([]byte(value))
@@ -146,6 +147,7 @@
 	is.Equal(e.countEvents(audit.DocumentAccepted), 1)
 	is.Equal(e.countEvents(audit.RevisionConflict), 1)
 	is.Equal(e.countEvents(audit.DocumentRefused), 3) // Too old, faulty, no revision.
+	is.Equal(refused, 2)                              // Faulty, no revision.
 }
 
 // Guards against undetected failures of the platform: each failed read is counted, including those
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -32,6 +32,9 @@
 	ReplyMismatches expvar.Int
 	// PlatformFailures counts failed calls to the platform by document key.
 	PlatformFailures expvar.Map
+	// DocumentsRefused counts invalid versions of documents by document key. The current version stays in
+	// force.
+	DocumentsRefused expvar.Map
 	// SheetRevision and IndexRevision are the current revisions, zero until both documents are
 	// known.
 	SheetRevision, IndexRevision expvar.Int
@@ -74,6 +77,7 @@
 	vars.Set("silent_connections_total", &m.SilentConnections)
 	vars.Set("reply_mismatches_total", &m.ReplyMismatches)
 	vars.Set("platform_failures_total", &m.PlatformFailures)
+	vars.Set("documents_refused_total", &m.DocumentsRefused)
 	vars.Set("sheet_revision", &m.SheetRevision)
 	vars.Set("index_revision", &m.IndexRevision)
 	vars.Set("detached", &m.Detached)
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -197,6 +197,7 @@
 		CheckSheet:    checkSheet,
 		CheckTargets:  (*targetlist.Document).Validate,
 		OnReadFailure: func(key string) { d.metrics.PlatformFailures.Add(key, 1) },
+		OnRefused:     func(key string) { d.metrics.DocumentsRefused.Add(key, 1) },
 		OnChange:      func(*configsync.View) { d.onChange() },
 	})
 }
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -43,8 +43,9 @@
 		OnReadFailure: func(key string) {
 			d.metrics.PlatformFailures.Add(key, 1)
 		},
-		OnChange: d.onChange,
-		OnHosts:  d.onHosts,
+		OnRefused: func(key string) { d.metrics.DocumentsRefused.Add(key, 1) },
+		OnChange:  d.onChange,
+		OnHosts:   d.onHosts,
 	})
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -253,7 +253,13 @@
 	newest := r.forwarder.newestSheetRevision()
 	for end := time.Now().Add(maxRevisionWait); ; {
 		p := r.plan.Load()
-		if p == nil || p.sheet.Revision >= newest || ctx.Err() != nil || !time.Now().Before(end) {
+		if p == nil || p.sheet.Revision >= newest || ctx.Err() != nil {
+			return p
+		}
+		if !time.Now().Before(end) {
+			r.cfg.Metrics.OutdatedSheet.Add(1)
+			r.forwarder.log.Warn().Uint64("sheet", p.sheet.Revision).Uint64("newest", newest).
+				Msg("the sheet that a home has used is not in force here yet")
 			return p
 		}
 		time.Sleep(revisionPollInterval)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -30,6 +30,8 @@
 	// Forwarded counts requests that a home ran, FailedOffers the times that a home refused a request
 	// or did not offer to run it in time, and Hosted requests that ran here for other entries.
 	Forwarded, FailedOffers, Hosted expvar.Int
+	// OutdatedSheet counts requests that found an older sheet here than a home has used for this entry.
+	OutdatedSheet expvar.Int
 	// Detoured counts requests that a peer ran because this entry reached no target.
 	Detoured expvar.Int
 
@@ -80,6 +82,7 @@
 	vars.Set("partial_total", &m.Partial)
 	vars.Set("forwarded_total", &m.Forwarded)
 	vars.Set("detoured_total", &m.Detoured)
+	vars.Set("outdated_sheet_total", &m.OutdatedSheet)
 	vars.Set("unoffered_total", &m.FailedOffers)
 	vars.Set("hosted_total", &m.Hosted)
 	vars.Set("latency", expvar.Func(func() any { return m.snapshot() }))
