Limit catching up apart from other exchanges

Cause: CatchUp, by which an entry fetches the sheet that a home has just used, was dropped while 16 exchanges wait for lost peers, each for a second, and was not repeated. The entry then served its own requests by the older sheet until a later exchange, about 0.5 s, which is above the 250 ms within which no older version may be used. Change: four slots of its own for these calls.

--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -25,6 +25,8 @@
 	// entry is partitioned. Several entries detect it themselves, so that even a zone of 294 entries is
 	// reached.
 	zoneFanout = 12
+	// maxConcurrentCatchUps limits the concurrent calls of CatchUp.
+	maxConcurrentCatchUps = 4
 	// bootstrapMemberLimit is the number of live members below which a caller counts as
 	// bootstrapping and receives a bootstrap sample of the members. It needs the size of the fleet
 	// to compute its share of connections.
@@ -335,7 +337,8 @@
 	}
 }
 
-// CatchUp asks the entry with the given id for newer documents. It does not wait for the answer.
+// CatchUp asks the entry with the given id for newer documents. It does not wait for the answer. Its calls are
+// limited apart from the other exchanges, whose calls to lost peers wait for CallTimeout.
 func (s *Syncer) CatchUp(entry string) {
 	s.mu.Lock()
 	peer, ok := s.table.Entry(entry)
@@ -344,12 +347,12 @@
 		return
 	}
 	select {
-	case s.callSlots <- struct{}{}:
+	case s.catchUpSlots <- struct{}{}:
 	default:
-		return // Too many calls are waiting for an answer; later rounds make up for this one.
+		return // The calls that are waiting for an answer ask for newer documents too.
 	}
 	go func() {
-		defer func() { <-s.callSlots }()
+		defer func() { <-s.catchUpSlots }()
 		s.exchange(context.Background(), peer, false) // Limited by CallTimeout.
 	}()
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -38,6 +38,8 @@
 	offers map[string]*offerQueue
 	// callSlots limits the concurrent exchanges. Each running one occupies a slot.
 	callSlots chan struct{}
+	// catchUpSlots limits the concurrent calls of CatchUp.
+	catchUpSlots chan struct{}
 	// viewSignal triggers OnChange, peerSignal a push to peers, and zoneSignal a push to peers of
 	// the own zone. Each holds at most one pending signal.
 	viewSignal chan struct{}
@@ -69,14 +71,15 @@
 	cfg = cfg.withDefaults()
 	self := membership.Entry{ID: cfg.Entry, Zone: cfg.Zone, Address: cfg.Address, Incarnation: cfg.Incarnation, Capacity: cfg.Capacity}
 	s := &Syncer{
-		cfg:        cfg,
-		deps:       deps,
-		store:      documents.New(cfg.Keys...),
-		offers:     make(map[string]*offerQueue, len(cfg.Keys)),
-		callSlots:  make(chan struct{}, maxConcurrentExchanges),
-		viewSignal: make(chan struct{}, 1),
-		peerSignal: make(chan struct{}, 1),
-		zoneSignal: make(chan struct{}, 1),
+		cfg:          cfg,
+		deps:         deps,
+		store:        documents.New(cfg.Keys...),
+		offers:       make(map[string]*offerQueue, len(cfg.Keys)),
+		callSlots:    make(chan struct{}, maxConcurrentExchanges),
+		catchUpSlots: make(chan struct{}, maxConcurrentCatchUps),
+		viewSignal:   make(chan struct{}, 1),
+		peerSignal:   make(chan struct{}, 1),
+		zoneSignal:   make(chan struct{}, 1),
 		table: membership.New(self, membership.Settings{
 			WatchersPerZone: cfg.WatchersPerZone,
 			Interval:        cfg.ExchangeInterval,
