Refuse requests while the sheet is older than one that a home has used

Cause: (1) an entry took the revision under which a home runs a request from its answer. Targets see the effect of that revision before, while the request runs (up to its deadline), and also if no answer arrives. (2) When the newer sheet had not arrived after 100 ms, the entry went on with the older one, or answered 404 for a route of the newer one. Change: the revision counts from the home's offer, before the go-ahead. An entry without it offers gathered requests to homes that have it, refuses others with 503 and Retry-After, and asks the home again. Conclusion: the class is evidence of a version that is recorded later than others can see its effect.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -40,8 +40,9 @@
 // HomeClient runs requests on other entries. peerrpc.Pool implements it.
 type HomeClient interface {
 	// Gather runs a request on the entry at address, which must offer to run it within offerTimeout.
-	// The outcome of an error is NotRun as long as the entry has not been told to start.
-	Gather(ctx context.Context, address string, start *peerpb.GatherStart, offerTimeout time.Duration) (*peerrpc.GatherResult, error)
+	// The outcome of an error is NotRun as long as the entry has not been told to start. offered is called
+	// before that with the revision of the sheet under which the entry will run the request.
+	Gather(ctx context.Context, address string, start *peerpb.GatherStart, offerTimeout time.Duration, offered func(sheetRevision uint64)) (*peerrpc.GatherResult, error)
 }
 
 // forwarder offers gathered requests to homes, and all requests to peers while this entry reaches no target.
@@ -63,9 +64,10 @@
 	peers []detour.Peer
 	// running counts the requests that other entries run for this one. Guarded by mu.
 	running map[string]int
-	// newestSheet is the highest sheet revision under which a home ran a request of this entry.
-	// Guarded by mu.
+	// newestSheet is the highest sheet revision under which a home may have run a request of this entry.
+	// newestHome is that home. Guarded by mu.
 	newestSheet uint64
+	newestHome  string
 }
 
 func newForwarder(cfg *Config) *forwarder {
@@ -137,9 +139,9 @@
 	for _, e := range entries {
 		start := time.Now()
 		f.addRunning(e.ID, 1)
-		gathered, err := f.homes.Gather(ctx, e.Address, o.start, o.timeout)
+		gathered, err := f.homes.Gather(ctx, e.Address, o.start, o.timeout, func(revision uint64) { f.recordRevision(e.ID, revision) })
 		f.addRunning(e.ID, -1)
-		f.recordOffer(e.ID, gathered, err)
+		f.recordOffer(e.ID, err)
 		o.tried.add(e.ID, time.Since(start), err)
 		if err == nil {
 			if o.start.Detour {
@@ -215,15 +217,13 @@
 }
 
 // recordOffer records the result of an offer to a home.
-func (f *forwarder) recordOffer(home string, gathered *peerrpc.GatherResult, err error) {
+func (f *forwarder) recordOffer(home string, err error) {
 	now := f.self.Clock()
 	f.mu.Lock()
-	newer := false
+	defer f.mu.Unlock()
 	switch code := status.CodeOf(err); {
 	case err == nil:
 		f.backoff.RecordSuccess(home)
-		newer = gathered.SheetRevision > f.newestSheet
-		f.newestSheet = max(f.newestSheet, gathered.SheetRevision)
 	case code == status.Draining:
 		f.backoff.RecordDraining(now, home)
 	case code == status.NoReplica:
@@ -233,36 +233,55 @@
 	default:
 		f.backoff.RecordFailure(now, home)
 	}
+}
+
+// recordRevision records that a home is about to run a request under the given sheet revision. Targets may see
+// its effect before the answer arrives, and also if none does.
+func (f *forwarder) recordRevision(home string, revision uint64) {
+	f.mu.Lock()
+	newer := revision > f.newestSheet
+	if newer {
+		f.newestSheet, f.newestHome = revision, home
+	}
 	f.mu.Unlock()
 	if newer {
 		f.catchUp(home)
 	}
 }
 
-// newestSheetRevision returns the highest sheet revision under which a home ran a request of this
-// entry.
+// catchUpAgain requests newer documents from the home with the newest sheet once more.
+func (f *forwarder) catchUpAgain() {
+	f.mu.Lock()
+	home := f.newestHome
+	f.mu.Unlock()
+	f.catchUp(home)
+}
+
+// newestSheetRevision returns the highest sheet revision under which a home may have run a request of
+// this entry.
 func (f *forwarder) newestSheetRevision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.newestSheet
 }
 
-// awaitRevision returns the current plan once it is as new as the answers that homes gave to callers
-// of this entry, or after maxRevisionWait.
-func (r *Relay) awaitRevision(ctx context.Context) *plan {
+// awaitRevision returns the current plan once it is as new as the sheets under which homes may have run
+// requests of this entry, or after maxRevisionWait. outdated is set if it is still older: it must not be
+// applied to a request, because callers have seen the effect of a newer one.
+func (r *Relay) awaitRevision(ctx context.Context) (p *plan, outdated bool) {
 	newest := r.forwarder.newestSheetRevision()
-	for end := time.Now().Add(maxRevisionWait); ; {
+	for end := time.Now().Add(maxRevisionWait); ; time.Sleep(revisionPollInterval) {
 		p := r.plan.Load()
-		if p == nil || p.sheet.Revision >= newest || ctx.Err() != nil {
-			return p
+		if p == nil || p.sheet.Revision >= newest {
+			return p, false
 		}
-		if !time.Now().Before(end) {
+		if ctx.Err() != nil || !time.Now().Before(end) {
 			r.cfg.Metrics.OutdatedSheet.Add(1)
+			r.forwarder.catchUpAgain()
 			r.forwarder.log.Warn().Uint64("sheet", p.sheet.Revision).Uint64("newest", newest).
 				Msg("the sheet that a home has used is not in force here yet")
-			return p
+			return p, true
 		}
-		time.Sleep(revisionPollInterval)
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -55,11 +55,14 @@
 		return errorAnswer(status.New(status.Draining, status.NotRun, "this entry is stopping").WithRetryAfter(engine.DefaultRetryAfter))
 	}
 	r.cfg.Engine.AwaitVerified(ctx)
-	p := r.awaitRevision(ctx)
+	p, outdated := r.awaitRevision(ctx)
 	if p == nil {
 		return errorAnswer(status.New(status.NotReady, status.NotRun, "no sheet and target list are in force yet").WithRetryAfter(engine.DefaultRetryAfter))
 	}
 	route := p.findRoute(req.Host, req.Path)
+	if outdated {
+		return r.serveOutdated(ctx, req, p, route)
+	}
 	if route == nil {
 		return errorAnswer(status.New(status.NotFound, status.NotRun, "no service of host %.80q matches the path", req.Host))
 	}
@@ -86,6 +89,24 @@
 	return answer
 }
 
+// serveOutdated runs a request on an entry that has a newer sheet than this one, if one accepts it, and refuses it
+// otherwise. route is that of the older sheet, or nil.
+func (r *Relay) serveOutdated(ctx context.Context, req *relayapi.Request, p *plan, route *route) *relayapi.Answer {
+	var answer *relayapi.Answer
+	switch {
+	case route == nil:
+	case r.cfg.Engine.Detached():
+		answer = r.detour(ctx, req, p, route)
+	case route.layout != nil:
+		answer = r.forward(ctx, r.waits.estimate(req, route.service.Name), p, route)
+	}
+	if answer != nil {
+		return answer
+	}
+	return errorAnswer(status.New(status.NotReady, status.NotRun, "a newer sheet than revision %d is in force, and this entry does not have it yet", p.sheet.Revision).
+		WithRetryAfter(engine.DefaultRetryAfter))
+}
+
 // runWhileConnected runs a request on this entry. It ends an idempotent request when this entry ceases to
 // reach its targets, and reports then that the request was lost and may run elsewhere.
 func (r *Relay) runWhileConnected(ctx context.Context, req *relayapi.Request, p *plan, route *route) (answer *relayapi.Answer, lost bool) {
--- a/transport/peerrpc/gather.go
+++ b/transport/peerrpc/gather.go
@@ -22,8 +22,9 @@
 
 // Gather runs a request on the home at address. The home must offer to run it within
 // offerWithin, and runs it once it receives Go. Until Go is sent, the outcome of an error is
-// NotRun, because the home sends nothing to a target before it receives Go.
-func (p *Pool) Gather(ctx context.Context, address string, start *peerpb.GatherStart, offerWithin time.Duration) (*GatherResult, error) {
+// NotRun, because the home sends nothing to a target before it receives Go. offered is called before that
+// with the revision of the sheet under which the home will run the request.
+func (p *Pool) Gather(ctx context.Context, address string, start *peerpb.GatherStart, offerWithin time.Duration, offered func(sheetRevision uint64)) (*GatherResult, error) {
 	message := &peerpb.GatherRequest{Start: start}
 	if err := checkSize(message, address); err != nil {
 		return nil, err
@@ -54,6 +55,7 @@
 		}
 		return nil, notRunError(ctx, p.handleError(ctx, address, conn, err))
 	}
+	offered(revision)
 	answer, err := awaitAnswer(stream)
 	if err != nil {
 		return nil, p.handleError(ctx, address, conn, err)
--- a/transport/peerrpc/gather_test.go
+++ b/transport/peerrpc/gather_test.go
@@ -84,10 +84,12 @@
 	pool := NewPool(testKey, Options{})
 	defer pool.Close()
 	for _, body := range []string{"a", "b", "c"} {
-		g, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{Body: []byte(body)}, offerTimeout)
+		var offered uint64
+		g, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{Body: []byte(body)}, offerTimeout, func(revision uint64) { offered = revision })
 		is.NoErr(err)
 		is.Equal(string(g.Answer.Records), body)
 		is.Equal(g.SheetRevision, uint64(7))
+		is.Equal(offered, uint64(7))
 	}
 	is.Equal(closeIdleConnections(pool, address), 1) // One connection served all requests.
 }
@@ -100,7 +102,7 @@
 	address := startPeer(t, h)
 	pool := NewPool(testKey, Options{})
 	defer pool.Close()
-	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, offerTimeout)
+	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, offerTimeout, func(uint64) {})
 	is.Equal(status.CodeOf(err), status.Draining)
 	is.Equal(status.From(err).Outcome, status.NotRun)
 	is.Equal(closeIdleConnections(pool, address), 1) // The connection remains usable.
@@ -115,7 +117,7 @@
 	address := startPeer(t, h)
 	pool := NewPool(testKey, Options{})
 	defer pool.Close()
-	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, 20*time.Millisecond)
+	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, 20*time.Millisecond, func(uint64) {})
 	is.Equal(status.From(err).Outcome, status.NotRun)
 	is.Equal(status.CodeOf(err), status.Unavailable)
 	close(h.offerGate)
@@ -135,7 +137,7 @@
 		<-h.started
 		stop()
 	}()
-	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, offerTimeout)
+	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, offerTimeout, func(uint64) {})
 	is.Equal(status.From(err).Outcome, status.Unknown)
 }
 
@@ -152,7 +154,7 @@
 		<-h.started
 		cancel()
 	}()
-	_, err := pool.Gather(ctx, address, &peerpb.GatherStart{}, offerTimeout)
+	_, err := pool.Gather(ctx, address, &peerpb.GatherStart{}, offerTimeout, func(uint64) {})
 	is.Equal(status.CodeOf(err), status.Canceled)
 	is.True(<-h.ended != nil)
 }
@@ -164,7 +166,7 @@
 	stop()
 	pool := NewPool(testKey, Options{})
 	defer pool.Close()
-	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, offerTimeout)
+	_, err := pool.Gather(context.Background(), address, &peerpb.GatherStart{}, offerTimeout, func(uint64) {})
 	is.Equal(status.CodeOf(err), status.ConnectionFailed)
 	is.Equal(status.From(err).Outcome, status.NotRun)
 }
