Accept a configuration without routes

Cause: Sheet.Check demanded at least one service, and each route is translated into one. Change: an empty list of services is valid. Result: TestConfigurationsWithoutRoutesOrServersComeIntoForce failed before for no, absent and null routes, and passes with the race detector; so does TestRequestsOfTheLastRemovedRouteAreNotRun. Conclusion: the class is a check of the translation that the platform does not make. The other checks of a relay (names, host, prefix, groups) concern what entries cannot route.

--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -71,9 +71,6 @@
 		s.Services[i].check(&c, fmt.Sprintf("services[%d]", i), seen, groups)
 	}
 	s.checkRoutes(&c)
-	if len(s.Services) == 0 {
-		c.Add("services", "none", "at least one service")
-	}
 	return c.Faults
 }
 
