--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -20,10 +20,12 @@
 // MaxDeadlineMS is the maximum deadline that a sheet may set, in milliseconds.
 const MaxDeadlineMS = 600_000
 
+// MaxConnections is the maximum number of connections to a target that a sheet may allow.
+const MaxConnections = 100_000
+
 // Limits of other fields of a sheet.
 const (
 	maxSlots         = 10_000
-	maxConnections   = 100_000
 	minPriority      = 1
 	maxPriority      = 9
 	maxWindowS       = 86_400
@@ -128,7 +130,7 @@
 		}
 		c.Name(path+".zone", t.Zone, nil)
 		c.Range(path+".slots", int64(t.Slots), 1, maxSlots)
-		c.Range(path+".max_connections", int64(t.MaxConnections), 1, maxConnections)
+		c.Range(path+".max_connections", int64(t.MaxConnections), 1, MaxConnections)
 	}
 }
 
--- a/protocol/sheet/relay.go
+++ b/protocol/sheet/relay.go
@@ -51,9 +51,11 @@
 	Weight float64 `json:"weight"`
 }
 
-// Limits of the fields of a relay.
+// MaxRuns is the maximum number of targets that a relay may let run one sub-request.
+const MaxRuns = 100
+
+// Limits of the other fields of a relay.
 const (
-	maxRuns       = 100
 	maxTopRecords = 100_000
 	maxHostLength = 255
 )
@@ -63,7 +65,7 @@
 	for i, g := range s.Groups {
 		path := fmt.Sprintf("groups[%d]", i)
 		c.Name(path+".name", g.Name, seen)
-		c.Range(path+".max_connections", int64(g.MaxConnections), 1, maxConnections)
+		c.Range(path+".max_connections", int64(g.MaxConnections), 1, MaxConnections)
 	}
 	return seen
 }
@@ -75,7 +77,7 @@
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
 		c.Add(path+".path_prefix", strconv.Quote(r.PathPrefix), "a path that begins and ends with a slash")
 	}
-	c.Range(path+".attempts", int64(r.MaxRuns), 1, maxRuns)
+	c.Range(path+".attempts", int64(r.MaxRuns), 1, MaxRuns)
 	switch {
 	case len(r.Shards) > 0 && len(r.Split) > 0, len(r.Shards) == 0 && len(r.Split) == 0:
 		c.Add(path, fmt.Sprintf("%d shards and %d split groups", len(r.Shards), len(r.Split)), "either shards or split")
