Keep a connection whose request has just been read

Cause: the timer of an idle connection closed it under the conn's lock, but a read that had already returned a request takes that lock only afterwards. The same held for a header that was complete just as its limit passed. Change: the timer sets a read deadline in the past. A read that returns bytes clears it and the connection goes on; only a read that fails closes the connection, so that the server does not respond with 400.

--- a/transport/connlimit/connlimit.go
+++ b/transport/connlimit/connlimit.go
@@ -1,4 +1,4 @@
-// Package connlimit closes HTTP server connections that stay idle too long or take too long to
+// Package connlimit makes an HTTP server close connections that stay idle too long or take too long to
 // send a request header. Its limits may change while the server runs, unlike
 // http.Server.IdleTimeout and ReadHeaderTimeout, which are fixed when the server starts.
 package connlimit
@@ -76,17 +76,24 @@
 	phase      phase
 	phaseStart time.Time
 	timer      *time.Timer
+	// expired is set if the phase reached its limit and reads end with a timeout. Guarded by mu.
+	expired bool
 }
 
+// past is a read deadline that ends reads at once.
+var past = time.Unix(1, 0)
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		if c.phase == idle {
-			c.setPhaseLocked(readingHeader)
-		}
-		c.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case n > 0 && c.phase == idle:
+		c.setPhaseLocked(readingHeader)
+	case n == 0 && err != nil && c.expired:
+		// The server would respond with 400 to an incomplete header.
+		_ = c.Close() // No caller is left to handle an error.
 	}
 	return n, err
 }
@@ -104,6 +111,11 @@
 		c.timer.Stop()
 		c.timer = nil
 	}
+	if c.expired {
+		// The last read has returned a request although the limit passed meanwhile.
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{}) // On failure, the next read fails too.
+	}
 	c.phase, c.phaseStart = p, time.Now()
 	if limit := c.limit(); limit > 0 {
 		c.startTimer(limit)
@@ -124,12 +136,13 @@
 // startTimer sets the timer of the current phase. The caller holds mu.
 func (c *conn) startTimer(d time.Duration) {
 	phaseStart := c.phaseStart
-	c.timer = time.AfterFunc(d, func() { c.closeIfExpired(phaseStart) })
+	c.timer = time.AfterFunc(d, func() { c.endReadsIfExpired(phaseStart) })
 }
 
-// closeIfExpired closes the connection if it is still in the phase that began at phaseStart. If
-// the limit was raised meanwhile, it restarts the timer for the remaining time.
-func (c *conn) closeIfExpired(phaseStart time.Time) {
+// endReadsIfExpired ends reads of the connection if it is still in the phase that began at phaseStart;
+// the read that fails then closes it. It is not closed here, because a read may just have returned a
+// request. If the limit was raised meanwhile, it restarts the timer for the remaining time.
+func (c *conn) endReadsIfExpired(phaseStart time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phaseStart != phaseStart {
@@ -143,5 +156,6 @@
 		c.startTimer(left)
 		return
 	}
-	_ = c.Close() // No caller is left to handle an error.
+	c.expired = true
+	_ = c.SetReadDeadline(past) // A failure means that the connection is closed.
 }
