Let a detached entry find its way back without other entries

Cause: an entry compared itself only with targets that peers had reached. Change: a check also tries eight other listed targets, and a detached entry probes the whole list in turn (coordination/detached.Rotation), new ids first, besides what peers name. TestEntryThatReachesAListedTargetIsAttached draws losses, replacements, partitions and returns for 3 to 300 entries and fails without the rotation (detached for 4 s although a listed target is reachable). Conclusion: the class is a state that only another entry can end.

--- a/internal/engine/detached.go
+++ b/internal/engine/detached.go
@@ -46,7 +46,7 @@
 	// mu.
 	reached [maxReachedTargets]reachedTarget
 	next    int
-	// targets holds the ids of the known targets. Guarded by mu.
+	// targets holds the ids of the known targets. The map is replaced, not changed. Guarded by mu.
 	targets map[string]bool
 	// repliedAt is the time of the last reply. Guarded by mu.
 	repliedAt time.Duration
@@ -171,11 +171,14 @@
 	}
 }
 
-// checkAttachment opens connections to targets that peers have just reached. This entry is detached
-// if none can be opened.
+// checkAttachment opens connections to targets that peers have just reached, and to some others: those of the
+// peers may have been lost for all entries. This entry is detached if none can be opened.
 func (e *Engine) checkAttachment() {
 	candidates := e.awaitCandidates()
-	reached := e.countReachable(candidates)
+	reached := 0
+	if len(candidates) > 0 {
+		reached = e.countReachable(slices.Concat(candidates, e.otherTargets(candidates)))
+	}
 	e.attachment.mu.Lock()
 	isDetached := e.attachment.detector.FinishCheck(e.self.Clock(), len(candidates), reached)
 	e.attachment.mu.Unlock()
@@ -226,17 +229,33 @@
 	if e.probeTarget(targets[0], firstProbeTimeout) {
 		return 1
 	}
-	var reached atomic.Int64
+	return len(e.reachable(targets))
+}
+
+// reachable returns the targets to which a connection can be opened.
+func (e *Engine) reachable(targets []string) []string {
+	var mu sync.Mutex
+	var reached []string
 	var probes sync.WaitGroup
 	for _, target := range targets {
 		probes.Go(func() {
 			if e.probeTarget(target, detachedProbeTimeout) {
-				reached.Add(1)
+				mu.Lock()
+				defer mu.Unlock()
+				reached = append(reached, target)
 			}
 		})
 	}
 	probes.Wait()
-	return int(reached.Load())
+	return reached
+}
+
+// firstReachable returns a target to which a connection can be opened, or an empty string.
+func (e *Engine) firstReachable(targets []string) string {
+	if reached := e.reachable(targets); len(reached) > 0 {
+		return reached[0]
+	}
+	return ""
 }
 
 // reachesOthers reports whether this entry reaches any target other than the given one, or knows none.
@@ -244,15 +263,26 @@
 	if e.Detached() {
 		return false
 	}
-	e.attachment.mu.Lock()
+	others := e.otherTargets([]string{target})
+	return len(others) == 0 || e.countReachable(others) > 0
+}
+
+// otherTargets returns random known targets except the given ones.
+func (e *Engine) otherTargets(targets []string) []string {
 	var others []string
-	for t := range e.attachment.targets { // Go iterates in random order.
-		if t != target && len(others) < maxReachedTargets {
+	for t := range e.listedTargets() { // Go iterates in random order.
+		if len(others) < maxReachedTargets && !slices.Contains(targets, t) {
 			others = append(others, t)
 		}
 	}
-	e.attachment.mu.Unlock()
-	return len(others) == 0 || e.countReachable(others) > 0
+	return others
+}
+
+// listedTargets returns the known targets. The caller must not change the map.
+func (e *Engine) listedTargets() map[string]bool {
+	e.attachment.mu.Lock()
+	defer e.attachment.mu.Unlock()
+	return e.attachment.targets
 }
 
 func (e *Engine) probeTarget(target string, timeout time.Duration) bool {
@@ -261,10 +291,15 @@
 	return e.targets.Reachable(ctx, target)
 }
 
-// awaitAttachment probes a target at a time until this entry reaches the targets again.
+// awaitAttachment probes targets until this entry reaches some again: one that peers have just reached, and in turn
+// all that are listed, because the peers may be detached too.
 func (e *Engine) awaitAttachment() {
 	var candidates []string
 	var askedAt time.Time
+	var rotation detached.Rotation
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	// last is a target that the previous round has reached, or empty.
+	last := ""
 	for {
 		start := time.Now()
 		if time.Since(askedAt) > candidatesPeriod {
@@ -273,10 +308,17 @@
 			}
 			askedAt = start
 		}
+		round := rotation.Next(rng, e.listedTargets())
 		if len(candidates) > 0 {
-			reached := e.probeTarget(candidates[rand.IntN(len(candidates))], detachedProbeTimeout)
+			round = append(round, candidates[rng.IntN(len(candidates))])
+		}
+		if last != "" {
+			round = append(round, last)
+		}
+		if len(round) > 0 {
+			last = e.firstReachable(round)
 			e.attachment.mu.Lock()
-			attached := e.attachment.detector.RecordProbe(e.self.Clock(), reached)
+			attached := e.attachment.detector.RecordProbe(e.self.Clock(), last != "")
 			e.attachment.mu.Unlock()
 			if attached {
 				e.setDetached(false)
