Accept documents of a later build

Cause: entries of two builds serve side by side during an upgrade, and most entries learn the sheet and the target list from peers. They refused a document with a field that they do not know, so one new field would have kept every older entry without changes until its own next read of the platform, 10 minutes later (CONFIG, DRAIN). It happened with the era of target lists: builds before refuse them. Change: relays ignore unknown fields of the sheets and target lists that entries encode.

--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -192,7 +192,7 @@
 		Facts:         newFactExchange(d.self, d.core),
 		Audit:         d.audit,
 		Log:           d.log,
-		ParseSheet:    sheet.Parse,
+		ParseSheet:    sheet.ParseCompatible,
 		ParseTargets:  targetlist.Parse,
 		CheckSheet:    checkSheet,
 		CheckTargets:  (*targetlist.Document).Validate,
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -79,7 +79,13 @@
 // Decode decodes data into dst. It rejects documents that are larger than MaxSize or nested
 // deeper than MaxDepth, duplicate keys, unknown fields, wrong types and trailing data. Every error
 // is an *Error.
-func Decode(kind string, data []byte, dst any) error {
+func Decode(kind string, data []byte, dst any) error { return decode(kind, data, dst, true) }
+
+// DecodeCompatible is like Decode, but ignores unknown fields. It is for documents that other entries encode: a
+// later build may add fields.
+func DecodeCompatible(kind string, data []byte, dst any) error { return decode(kind, data, dst, false) }
+
+func decode(kind string, data []byte, dst any, strict bool) error {
 	if len(data) > MaxSize {
 		return &Error{Kind: kind, Faults: []Fault{{
 			Value:   fmt.Sprintf("%d bytes", len(data)),
@@ -94,7 +100,9 @@
 		return &Error{Kind: kind, Faults: []Fault{{Path: path, Value: "given twice", Allowed: "a key that is given once"}}}
 	}
 	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
+	if strict {
+		dec.DisallowUnknownFields()
+	}
 	if err := dec.Decode(dst); err != nil {
 		return &Error{Kind: kind, Faults: []Fault{DecodeFault(data, err)}}
 	}
--- a/protocol/sheet/check.go
+++ b/protocol/sheet/check.go
@@ -37,9 +37,15 @@
 
 // Parse decodes and validates a sheet of at most document.MaxSize bytes. It rejects unknown fields.
 // Every error is an *Error that lists the faults.
-func Parse(data []byte) (*Sheet, error) {
+func Parse(data []byte) (*Sheet, error) { return parse(data, document.Decode) }
+
+// ParseCompatible is like Parse, but ignores unknown fields. It is for sheets that entries translate from the
+// platform's data: an entry of a later build may add fields.
+func ParseCompatible(data []byte) (*Sheet, error) { return parse(data, document.DecodeCompatible) }
+
+func parse(data []byte, decode func(kind string, data []byte, dst any) error) (*Sheet, error) {
 	var s Sheet
-	if err := document.Decode("sheet", data, &s); err != nil {
+	if err := decode("sheet", data, &s); err != nil {
 		return nil, err
 	}
 	if faults := s.Check(); len(faults) > 0 {
--- a/protocol/targetlist/targetlist.go
+++ b/protocol/targetlist/targetlist.go
@@ -59,10 +59,11 @@
 // maxSlots is the maximum number of slots of one target.
 const maxSlots = 10_000
 
-// Parse decodes and validates a list. Every error is a *document.Error.
+// Parse decodes and validates a list. It ignores unknown fields, because only entries encode lists, and those
+// of a later build may add fields. Every error is a *document.Error.
 func Parse(data []byte) (*Document, error) {
 	var d Document
-	if err := document.Decode("targets", data, &d); err != nil {
+	if err := document.DecodeCompatible("targets", data, &d); err != nil {
 		return nil, err
 	}
 	if err := d.Validate(); err != nil {
