--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 
 SEED ?= 1
 MINUTES ?= 2
+FUZZTIME ?= 5000x
 
-.PHONY: build test race lint run bench gobench soak generate clean
+.PHONY: build test race lint run bench gobench soak fuzz generate clean
 
 build:
 	@mkdir -p bin
@@ -37,6 +38,10 @@
 soak:
 	go test -count=1 -v -timeout $$(( $(MINUTES) + 5 ))m ./platform/soaktest -args -soak.seed=$(SEED) -soak.seconds=$$(( $(MINUTES) * 60 ))
 
+# Fuzzes every parser for a duration or a number of inputs (FUZZTIME) each.
+fuzz:
+	scripts/fuzz.sh $(FUZZTIME)
+
 generate:
 	protocol/peerpb/generate.sh
 
--- a/internal/configsync/builds_test.go
+++ b/internal/configsync/builds_test.go
@@ -34,7 +34,7 @@
 }
 
 // recordedBuilds returns the recorded builds by commit.
-func recordedBuilds(t *testing.T) map[string]recordedBuild {
+func recordedBuilds(t testing.TB) map[string]recordedBuild {
 	t.Helper()
 	files, err := filepath.Glob("testdata/builds/*.json")
 	is.New(t).NoErr(err)
