Leave time for both soaks in make soak

Cause: make soak runs the soak and the one during an upgrade, each for MINUTES; its timeout covered one. Result: make -n soak MINUTES=10 shows a timeout of 25 min.

--- a/Makefile
+++ b/Makefile
@@ -34,9 +34,9 @@
 gobench:
 	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./internal/configsync/... ./internal/entry/...
 
-# Runs the fault soak of the relay: real entries between stand-ins.
+# Runs the fault soak of the relay, real entries between stand-ins, and the same during an upgrade.
 soak:
-	go test -count=1 -v -timeout $$(( $(MINUTES) + 5 ))m ./platform/soaktest -args -soak.seed=$(SEED) -soak.seconds=$$(( $(MINUTES) * 60 ))
+	go test -count=1 -v -timeout $$(( 2 * $(MINUTES) + 5 ))m ./platform/soaktest -args -soak.seed=$(SEED) -soak.seconds=$$(( $(MINUTES) * 60 ))
 
 # Fuzzes every parser for a duration or a number of inputs (FUZZTIME) each.
 fuzz:
