Advance the revision of a list whose changes cancel out

A target that starts and leaves between two answers of a watch leaves the list as it was. An entry that sees both changes in one answer kept the earlier revision; a peer that had seen them one by one had published the list between them under a higher one, and all entries kept that list until the next change.

Cause: the feed compared the list before and after an answer. Change: each change counts that has an effect when it is applied. Result: feed.TestChangesThatCancelOutAdvanceTheRevision fails before and passes. Conclusion: an unchanged list does not show that nothing changed.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -99,6 +99,19 @@
 	is.Equal(st.targetsRevision, uint64(8))
 }
 
+// Guards against a list that keeps its revision when its changes cancel each other out, and so stays behind
+// the list that a peer has published between them.
+func TestChangesThatCancelOutAdvanceTheRevision(t *testing.T) {
+	is := is.New(t)
+	st := newSnapshot(stateAt(5, "a"), time.Time{})
+	st.apply(published.Changes{ResumeRevision: 7, Targets: []published.TargetChange{
+		{ID: "b", Revision: 6, Target: &targetlist.Target{ID: "b"}}, {ID: "b", Revision: 7}}}, time.Time{})
+	is.Equal(st.targetsRevision, uint64(7))
+	st.apply(published.Changes{ResumeRevision: 9, Targets: []published.TargetChange{
+		{ID: "a", Revision: 8, Target: &targetlist.Target{ID: "a"}}, {ID: "b", Revision: 9}}}, time.Time{})
+	is.Equal(st.targetsRevision, uint64(7)) // Nothing has changed.
+}
+
 // Guards against a target list that counts as changed when only the sheet has changed: every entry
 // would fetch it.
 func TestSheetChangeKeepsTargetsVersion(t *testing.T) {
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -39,35 +39,29 @@
 	if changes.Sheet != nil && changes.Sheet.Revision > s.sheet.Revision {
 		s.sheet = *changes.Sheet
 	}
-	incomplete := !s.coverage.Complete()
-	before := s.targets
+	// Only at the revision that completes a read are all pages equally old.
+	changed := !s.coverage.Complete()
 	if len(changes.Targets) > 0 {
-		s.targets = maps.Clone(before)
+		s.targets = maps.Clone(s.targets)
 	}
-	touched := make(map[string]bool, len(changes.Targets))
 	for _, c := range changes.Targets {
 		if s.coverage.Includes(c.ID, c.Revision) {
 			continue
 		}
-		touched[c.ID] = true
-		if c.Target == nil {
+		// Changes that cancel each other out count too: a peer may have published the list between them.
+		was, listed := s.targets[c.ID]
+		switch {
+		case c.Target == nil && listed:
 			delete(s.targets, c.ID)
-		} else {
+			changed = true
+		case c.Target != nil && (!listed || was != *c.Target):
 			s.targets[c.ID] = *c.Target
+			changed = true
 		}
 	}
 	s.coverage.Advance(changes.ResumeRevision)
-	for id := range touched {
-		was, listed := before[id]
-		is, lists := s.targets[id]
-		if listed != lists || was != is {
-			s.targetsRevision, s.readAt = s.coverage.Revision(), now
-			return
-		}
-	}
-	if incomplete {
-		// Only as of this revision are all pages equally old.
-		s.targetsRevision = s.coverage.Revision()
+	if changed {
+		s.targetsRevision, s.readAt = s.coverage.Revision(), now
 	}
 }
 
