Settle target lists that contradict each other

Cause: entries compared lists of one revision by digest only and each kept its own. A wrong list that an entry of an earlier build had dated too late stayed until something else changed. The same holds for a right list whose changes cancelled out unseen during a full read. Change: a list that was read from the platform is settled: the platform has this list at its revision. Claims travel with the versions (settled in DocumentInfo and FetchReply; builds before ignore it), and a settled list replaces another one of its revision that is not. An entry compares a list of a peer with its own registrations as soon as these reach the list's revision, and replaces it if they differ, dated by the revision that was read. Lists that replace one of the same revision, or show a leaving target as not leaving, are counted (target_list_faults_total) and logged with revisions, sources and ages. Conclusion: the first claim that is settled decides; two settled lists of one revision remain a reported conflict.

--- a/coordination/revision/revision.go
+++ b/coordination/revision/revision.go
@@ -79,6 +79,30 @@
 // of Decide that needs only the eras and revisions.
 func Newer(current, candidate Version) bool { return Compare(candidate, current) > 0 }
 
+// Claim is a version of a document, with what is known about its revision.
+type Claim struct {
+	Version Version
+	// Settled is set if the publisher has confirmed that the revision has this document.
+	Settled bool
+}
+
+// Replaces reports whether a candidate is worth fetching and validating: it is newer, or it is settled
+// and in conflict with a current document that is not.
+func (c Claim) Replaces(current Claim) bool { return DecideClaim(current, c, true) == Accept }
+
+// DecideClaim returns how a candidate is handled, like Decide. A conflict is decided for the one document
+// that is settled, if any.
+func DecideClaim(current, candidate Claim, valid bool) Decision {
+	decision := Decide(current.Version, candidate.Version, valid)
+	switch {
+	case decision != Conflict || current.Settled || !candidate.Settled:
+		return decision
+	case !valid:
+		return Faulty
+	}
+	return Accept
+}
+
 // Decide returns how a candidate is handled. valid says whether the whole candidate
 // passed validation; it matters only when the candidate is newer than the current
 // document.
--- a/coordination/revision/revision_test.go
+++ b/coordination/revision/revision_test.go
@@ -27,6 +27,20 @@
 	// too_old
 }
 
+// Guards against two entries that keep different documents of one revision although one of them is settled,
+// and against one that gives up the settled one.
+func TestSettledDocumentEndsAConflict(t *testing.T) {
+	is := is.New(t)
+	settled, other := Claim{version(7, "seven"), true}, Claim{version(7, "other"), false}
+	is.True(settled.Replaces(other))
+	is.Equal(DecideClaim(other, settled, false), Faulty)
+	is.Equal(DecideClaim(settled, other, true), Conflict)
+	is.Equal(DecideClaim(settled, Claim{other.Version, true}, true), Conflict)
+	is.Equal(DecideClaim(settled, Claim{settled.Version, false}, true), Unchanged)
+	is.True(!Claim{version(6, "six"), true}.Replaces(other))
+	is.True(Claim{version(8, "eight"), false}.Replaces(settled))
+}
+
 // Guards against entries that end up with different revisions, or return to an older one,
 // because candidates arrive in another order or several times.
 func TestHighestValidRevisionWinsInAnyOrder(t *testing.T) {
--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -56,29 +56,47 @@
 	return r.seen[refused]
 }
 
-// accept decides whether a document from actor becomes the current one, and replaces the current
-// document or refuses the whole candidate.
-func (s *Syncer) accept(key string, content *delta.Document, actor string) revision.Decision {
+// origin describes where a candidate comes from.
+type origin struct {
+	// actor is "platform" or a peer.
+	actor string
+	// readAt is the time at which the oldest part of the candidate was read.
+	readAt time.Time
+	// settled is set if the platform has confirmed that the revision has the candidate.
+	settled bool
+}
+
+// platformActor is the actor of documents that were read from the platform.
+const platformActor = "platform"
+
+// accept decides whether a document becomes the current one, and replaces the current document or refuses
+// the whole candidate.
+func (s *Syncer) accept(key string, content *delta.Document, from origin) revision.Decision {
 	candidate := versionOf(content)
 	if s.refusals.has(refusal{key, candidate, true}) {
 		return revision.Faulty
 	}
-	current := s.store.Version(key)
-	decision := revision.Decide(current, candidate, true)
+	current := s.store.Current(key)
+	decision := revision.DecideClaim(current.Claim(), revision.Claim{Version: candidate, Settled: from.settled}, true)
+	var value any
 	var fault error
 	switch decision {
 	case revision.Accept:
-		var value any
 		if value, fault = s.parse(key, content, candidate); fault != nil {
 			decision = revision.Faulty
 			break
 		}
-		decision = s.store.Replace(key, &documents.Document{Version: candidate, Content: content, Value: value})
+		decision = s.store.Replace(key, &documents.Document{Version: candidate, Content: content, Value: value,
+			Source: from.actor, ReadAt: from.readAt, Settled: from.settled})
 	case revision.Faulty:
 		fault = status.New(status.InvalidArgument, "", "revision is not a positive integer")
 	}
-	s.recordDecision(key, candidate, decision, actor, fault)
+	s.recordDecision(key, candidate, decision, from.actor, fault)
+	if decision == revision.Unchanged && from.settled {
+		s.store.Settle(key, candidate)
+	}
 	if decision == revision.Accept {
+		s.reportListFaults(current, candidate, value, from)
 		s.updateView()
 	}
 	return decision
--- a/internal/configsync/bench_test.go
+++ b/internal/configsync/bench_test.go
@@ -88,7 +88,7 @@
 // benchReceive applies the reply at an entry whose current document is current.
 func benchReceive(b *testing.B, deps Deps, current, base *documents.Document, reply *peerpb.FetchReply) {
 	first := New(Config{Entry: "e"}, deps)
-	if first.accept(platformapi.SheetKey, current.Content, "peer") != revision.Accept {
+	if first.accept(platformapi.SheetKey, current.Content, origin{actor: "peer"}) != revision.Accept {
 		b.Fatal("the base document was not accepted")
 	}
 	initial := first.store.Current(platformapi.SheetKey)
@@ -97,7 +97,7 @@
 		s := New(Config{Entry: "e"}, deps)
 		s.store.Replace(platformapi.SheetKey, initial)
 		content, err := decodeTransfer(base, reply)
-		if err != nil || s.accept(platformapi.SheetKey, content, "peer") != revision.Accept {
+		if err != nil || s.accept(platformapi.SheetKey, content, origin{actor: "peer"}) != revision.Accept {
 			b.Fatal("the change was not accepted")
 		}
 	}
@@ -113,7 +113,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			s.accept(key, content, "platform")
+			s.accept(key, content, origin{actor: "platform"})
 		}
 		for i := range n - 1 {
 			s.table.RecordAlive(time.Now(), time.Now().Add(-time.Second), membership.Entry{ID: fmt.Sprintf("entry-%04d", i), Zone: fmt.Sprintf("z%d", i%18),
--- a/internal/configsync/builds_test.go
+++ b/internal/configsync/builds_test.go
@@ -82,7 +82,7 @@
 			for key, value := range map[string]string{platformapi.SheetKey: build.Sheet, platformapi.TargetsKey: build.Targets} {
 				content, err := delta.New([]byte(value))
 				is.NoErr(err)
-				is.Equal(s.accept(key, content, "peer"), revision.Accept)
+				is.Equal(s.accept(key, content, origin{actor: "peer"}), revision.Accept)
 			}
 			is.Equal(len(s.Current().Sheet.Services), 3)
 			is.Equal(len(s.Current().Targets.Targets), 2)
@@ -98,18 +98,18 @@
 			s := New(Config{Entry: "e", Keys: relayKeys}, relayDeps())
 			content, err := delta.New([]byte(value))
 			is.NoErr(err)
-			is.Equal(s.accept(key, content, "peer"), revision.Accept)
+			is.Equal(s.accept(key, content, origin{actor: "peer"}), revision.Accept)
 			// The next version has unknown fields at the top and in an element of an array.
 			later := strings.Replace(value, `{`, `{"later":{"a":1},`, 1)
 			later = strings.Replace(later, `[{`, `[{"later":1,`, 1)
 			later = strings.Replace(strings.Replace(later, `"revision":7`, `"revision":8`, 1), `"revision":4`, `"revision":8`, 1)
 			content, err = delta.New([]byte(later))
 			is.NoErr(err)
-			is.Equal(s.accept(key, content, "peer"), revision.Accept)
+			is.Equal(s.accept(key, content, origin{actor: "peer"}), revision.Accept)
 			is.Equal(s.store.Version(key).Revision, uint64(8))
 			// An entry that starts has no version to compare with.
 			starting := New(Config{Entry: "s", Keys: relayKeys}, relayDeps())
-			is.Equal(starting.accept(key, content, "peer"), revision.Accept)
+			is.Equal(starting.accept(key, content, origin{actor: "peer"}), revision.Accept)
 		})
 	}
 }
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -132,6 +132,16 @@
 	Hosts(ctx context.Context) ([]platformapi.Host, error)
 }
 
+// SnapshotSource is a Platform whose target lists are the registrations as of their revision. It can therefore
+// settle which of two lists is right. It is implemented by feed.Feed.
+type SnapshotSource interface {
+	// Correct compares a list with the registrations as of its revision. known is false if these are not
+	// known: the list is of another era, newer than what was read, or older than the last change. If the
+	// list differs, Correct returns the document that replaces it, whose revision is not lower; otherwise
+	// the document is empty.
+	Correct(list *targetlist.Document) (doc platformapi.Document, known bool)
+}
+
 // PeerCaller calls other entries. It is implemented by peerrpc.Pool. Its errors are of type
 // *status.Error.
 type PeerCaller interface {
@@ -190,6 +200,9 @@
 	// OnRefused is called with the key of the document for each version that is refused as invalid. It must
 	// not block. It may be nil.
 	OnRefused func(key string)
+	// OnListFault is called for each target list that contradicts an earlier one of this entry. It must
+	// not block. It may be nil.
+	OnListFault func(ListFault)
 	// OnChange is called by one goroutine with the latest view after each change. Intermediate
 	// views may be skipped. It may be nil.
 	OnChange func(*View)
@@ -207,6 +220,10 @@
 	IndexDigest revision.Digest
 	// Targets is nil until a target list has been accepted, and if Config.Keys does not contain it.
 	Targets *targetlist.Document
+	// TargetsSource is the actor that Targets was accepted from, and TargetsReadAt the time at which its
+	// oldest part was read from the platform or, for a list of a peer, at which it was received.
+	TargetsSource string
+	TargetsReadAt time.Time
 }
 
 // Member is another entry.
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -140,7 +140,7 @@
 		for _, value := range []string{sheetJSON(2, "one"), sheetJSON(2, "two"), sheetJSON(1, "one"), sheetJSON(3, "faulty"), `{"Revision":9}`} {
 			content, err := delta.New([]byte(value))
 			is.NoErr(err)
-			s.accept(platformapi.SheetKey, content, "platform")
+			s.accept(platformapi.SheetKey, content, origin{actor: "platform"})
 		}
 	}
 	is.Equal(s.Current().Sheet.Date, "one")
--- a/internal/configsync/document_fuzz_test.go
+++ b/internal/configsync/document_fuzz_test.go
@@ -39,15 +39,15 @@
 			t.Fatal(err)
 		}
 		running := New(Config{Entry: "running", Keys: relayKeys}, fuzzDeps())
-		if running.accept(key, first, "platform") != revision.Accept {
+		if running.accept(key, first, origin{actor: "platform"}) != revision.Accept {
 			t.Fatal("the recorded document was refused")
 		}
 		if revision.Decide(running.store.Version(key), versionOf(content), true) != revision.Accept {
 			return // The document is not newer than the recorded one.
 		}
-		whenRunning := running.accept(key, content, "peer")
+		whenRunning := running.accept(key, content, origin{actor: "peer"})
 		starting := New(Config{Entry: "starting", Keys: relayKeys}, fuzzDeps())
-		if whenStarting := starting.accept(key, content, "peer"); whenStarting != whenRunning {
+		if whenStarting := starting.accept(key, content, origin{actor: "peer"}); whenStarting != whenRunning {
 			t.Fatalf("a running entry decides %v, an entry that starts %v", whenRunning, whenStarting)
 		}
 	})
--- a/internal/configsync/documents/documents.go
+++ b/internal/configsync/documents/documents.go
@@ -5,6 +5,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/revision"
@@ -21,6 +22,13 @@
 	Content *delta.Document
 	// Value is the decoded document.
 	Value any
+	// Source is the actor that the document was accepted from, and ReadAt the time at which its oldest
+	// part was read.
+	Source string
+	ReadAt time.Time
+	// Settled is set if the platform has confirmed that the revision has this document; see
+	// revision.Claim.
+	Settled bool
 }
 
 // Store holds the documents of a fixed set of keys. It is safe for concurrent use. Reading the
@@ -63,7 +71,34 @@
 	return revision.Version{}
 }
 
-// Replace makes a valid candidate the current document if it is newer, and returns the decision.
+// Claim returns the version of the current document and whether it is settled.
+func (s *Store) Claim(key string) revision.Claim { return s.Current(key).Claim() }
+
+// Claim returns the version of d and whether it is settled. It is the zero Claim if d is nil.
+func (d *Document) Claim() revision.Claim {
+	if d == nil {
+		return revision.Claim{}
+	}
+	return revision.Claim{Version: d.Version, Settled: d.Settled}
+}
+
+// Settle marks the current document as settled if it has the given version.
+func (s *Store) Settle(key string, version revision.Version) {
+	docs := s.byKey[key]
+	if docs == nil {
+		return
+	}
+	docs.mu.Lock()
+	defer docs.mu.Unlock()
+	if current := docs.current.Load(); current != nil && current.Version == version && !current.Settled {
+		settled := *current
+		settled.Settled = true
+		docs.current.Store(&settled)
+	}
+}
+
+// Replace makes a valid candidate the current document if it is newer or settles a conflict, and returns
+// the decision.
 // For an unknown key it returns Faulty.
 func (s *Store) Replace(key string, candidate *Document) revision.Decision {
 	docs := s.byKey[key]
@@ -73,11 +108,7 @@
 	docs.mu.Lock()
 	defer docs.mu.Unlock()
 	previous := docs.current.Load()
-	var current revision.Version
-	if previous != nil {
-		current = previous.Version
-	}
-	decision := revision.Decide(current, candidate.Version, true)
+	decision := revision.DecideClaim(previous.Claim(), candidate.Claim(), true)
 	if decision != revision.Accept {
 		return decision
 	}
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -77,8 +77,8 @@
 		RateLimits:  sampleFacts(s.rng, facts.RateLimits),
 	}
 	for _, key := range s.cfg.Keys {
-		if v := s.store.Version(key); !v.IsZero() {
-			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Era: v.Era, Revision: v.Revision, Digest: v.Digest[:]})
+		if c := s.store.Claim(key); !c.Version.IsZero() {
+			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Era: c.Version.Era, Revision: c.Version.Revision, Digest: c.Version.Digest[:], Settled: c.Settled})
 		}
 	}
 	if !includeMembers {
@@ -198,15 +198,18 @@
 	if queue == nil || !ok || sender.ID == s.cfg.Entry {
 		return
 	}
-	version := revision.Version{Era: d.Era, Revision: d.Revision, Digest: digest}
-	current := s.store.Version(d.Key)
-	switch {
-	case revision.Newer(current, version):
-		if sender.Address != "" && !s.refusals.has(refusal{d.Key, version, true}) {
-			queue.add(offer{entry: sender.ID, address: sender.Address, version: version})
+	claim := revision.Claim{Version: revision.Version{Era: d.Era, Revision: d.Revision, Digest: digest}, Settled: d.Settled}
+	switch revision.DecideClaim(s.store.Claim(d.Key), claim, true) {
+	case revision.Accept:
+		if sender.Address != "" && !s.refusals.has(refusal{d.Key, claim.Version, true}) {
+			queue.add(offer{entry: sender.ID, address: sender.Address, claim: claim})
 		}
-	case revision.Decide(current, version, true) == revision.Conflict:
-		s.recordConflict(d.Key, version, "peer "+sender.ID)
+	case revision.Unchanged:
+		if claim.Settled {
+			s.store.Settle(d.Key, claim.Version)
+		}
+	case revision.Conflict:
+		s.recordConflict(d.Key, claim.Version, "peer "+sender.ID)
 	}
 }
 
--- a/internal/configsync/offers.go
+++ b/internal/configsync/offers.go
@@ -19,7 +19,7 @@
 type offer struct {
 	entry   string
 	address string
-	version revision.Version
+	claim   revision.Claim
 }
 
 // offerQueue holds the offers of newer documents of one key.
@@ -41,7 +41,7 @@
 	if len(q.offers) > maxOffers {
 		lowest := 0
 		for i := range q.offers {
-			if revision.Compare(q.offers[i].version, q.offers[lowest].version) < 0 {
+			if revision.Compare(q.offers[i].claim.Version, q.offers[lowest].claim.Version) < 0 {
 				lowest = i
 			}
 		}
@@ -50,18 +50,18 @@
 	signal(q.signal)
 }
 
-// take removes and returns the offer with the highest version above current, or returns
-// false if there is none. It drops the offers that are no longer newer.
-func (q *offerQueue) take(current revision.Version) (offer, bool) {
+// take removes and returns the offer with the highest version that replaces current, or returns
+// false if there is none. It drops the offers that no longer do.
+func (q *offerQueue) take(current revision.Claim) (offer, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.offers = slices.DeleteFunc(q.offers, func(o offer) bool { return !revision.Newer(current, o.version) })
+	q.offers = slices.DeleteFunc(q.offers, func(o offer) bool { return !o.claim.Replaces(current) })
 	if len(q.offers) == 0 {
 		return offer{}, false
 	}
 	best := 0
 	for i := range q.offers {
-		if revision.Compare(q.offers[i].version, q.offers[best].version) > 0 {
+		if revision.Compare(q.offers[i].claim.Version, q.offers[best].claim.Version) > 0 {
 			best = i
 		}
 	}
@@ -87,11 +87,11 @@
 // is newer than the current document. A peer that failed repeats its offer with its next exchange.
 func (s *Syncer) fetchOffers(ctx context.Context, key string) {
 	for ctx.Err() == nil {
-		o, ok := s.offers[key].take(s.store.Version(key))
+		o, ok := s.offers[key].take(s.store.Claim(key))
 		if !ok {
 			return
 		}
-		if s.refusals.has(refusal{key, o.version, true}) {
+		if s.refusals.has(refusal{key, o.claim.Version, true}) {
 			continue
 		}
 		s.fetch(ctx, key, o)
@@ -113,7 +113,7 @@
 	}
 	switch {
 	case err == nil:
-		s.accept(key, content, "peer "+o.entry)
+		s.accept(key, content, origin{actor: "peer " + o.entry, readAt: time.Now(), settled: reply.Settled})
 	case reply != nil:
 		s.refuseData(key, reply.Value, "peer "+o.entry, err)
 	case ctx.Err() == nil:
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -7,6 +7,7 @@
 
 	"github.com/balsamstall/balsamstall/coordination/delta"
 	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/coordination/revision"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -57,6 +58,8 @@
 	// failingSince is the start time of the first of the latest consecutive failed calls, or zero
 	// after a successful call.
 	failingSince time.Time
+	// compared is the version of the target list that was last found to be the platform's.
+	compared revision.Version
 }
 
 // platformLoop watches a key while this entry is a watcher, and polls it otherwise. A poll is a
@@ -113,9 +116,13 @@
 	if err == nil && r.key == s.cfg.SettleKey && (s.exceedsSettleOutage(r) || changed && s.registrationsExpired(doc)) {
 		doc, changed, err = s.settle(ctx, r, doc, changed)
 	}
-	if err != nil || !changed && !r.fullRead {
+	if err != nil {
 		return false, err
 	}
+	defer s.correctTargets(r)
+	if !changed && !r.fullRead {
+		return false, nil
+	}
 	changed = changed && doc.Version != r.lastVersion
 	if r.fullRead {
 		pause := time.Duration(len(doc.Value)) * time.Second / fullReadBytesPerSecond
@@ -127,10 +134,12 @@
 	}
 	content, err := delta.New(doc.Value)
 	if err != nil {
-		s.refuseData(r.key, doc.Value, "platform", err)
+		s.refuseData(r.key, doc.Value, platformActor, err)
 		return changed, nil
 	}
-	s.accept(r.key, content, "platform")
+	if s.accept(r.key, content, origin{actor: platformActor, readAt: doc.ReadAt, settled: s.canSettle(r.key)}) == revision.Accept {
+		r.compared = versionOf(content)
+	}
 	return changed, nil
 }
 
--- a/internal/configsync/size_test.go
+++ b/internal/configsync/size_test.go
@@ -68,10 +68,10 @@
 			running := New(Config{Entry: "running"}, sizeTestDeps())
 			first, err := delta.New(sheetOfSize(t, 1, size-100))
 			is.NoErr(err)
-			is.Equal(running.accept(platformapi.SheetKey, first, "platform"), revision.Accept)
+			is.Equal(running.accept(platformapi.SheetKey, first, origin{actor: "platform"}), revision.Accept)
 			content, err := delta.New(sheetOfSize(t, 2, size))
 			is.NoErr(err)
-			is.Equal(running.accept(platformapi.SheetKey, content, "platform"), revision.Accept)
+			is.Equal(running.accept(platformapi.SheetKey, content, origin{actor: "platform"}), revision.Accept)
 
 			// One starting entry gets the whole document from a peer, the other one a delta.
 			current, base := running.store.Current(platformapi.SheetKey), &documents.Document{Version: versionOf(first), Content: first}
@@ -79,7 +79,7 @@
 				starting := New(Config{Entry: "starting"}, sizeTestDeps())
 				received, err := decodeTransfer(from, encodeTransfer(platformapi.SheetKey, current, from, true))
 				is.NoErr(err)
-				is.Equal(starting.accept(platformapi.SheetKey, received, "peer"), revision.Accept)
+				is.Equal(starting.accept(platformapi.SheetKey, received, origin{actor: "peer"}), revision.Accept)
 			}
 		})
 	}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -36,6 +36,8 @@
 	transfers transferCache
 	// offers holds one queue for each key of Config.Keys.
 	offers map[string]*offerQueue
+	// snapshots is the platform if it can settle target lists, or nil.
+	snapshots SnapshotSource
 	// callSlots limits the concurrent exchanges. Each running one occupies a slot.
 	callSlots chan struct{}
 	// catchUpSlots limits the concurrent calls of CatchUp.
@@ -91,6 +93,7 @@
 	for _, key := range cfg.Keys {
 		s.offers[key] = &offerQueue{signal: make(chan struct{}, 1)}
 	}
+	s.snapshots, _ = deps.Platform.(SnapshotSource)
 	s.view.Store(&View{})
 	s.SetPeers(cfg.Peers)
 	return s
@@ -277,7 +280,7 @@
 		view.Index, view.IndexDigest = doc.Value.(*index.Document), doc.Version.Digest
 	}
 	if doc := s.store.Current(platformapi.TargetsKey); doc != nil {
-		view.Targets = doc.Value.(*targetlist.Document)
+		view.Targets, view.TargetsSource, view.TargetsReadAt = doc.Value.(*targetlist.Document), doc.Source, doc.ReadAt
 	}
 	s.view.Store(view)
 	s.viewMu.Unlock()
--- a/internal/configsync/transfer.go
+++ b/internal/configsync/transfer.go
@@ -25,8 +25,8 @@
 	// elements of a document and some framing for each.
 	maxTransferBytes = 2 * document.MaxSize
 	// maxTransfers limits the encoded replies cached for one document: one for each recent base,
-	// and the full document with and without compression.
-	maxTransfers = documents.HistoryLength + 2
+	// and the full document with and without compression, before and after it is settled.
+	maxTransfers = 2 * (documents.HistoryLength + 2)
 )
 
 // transferCache caches the encoded replies of the current documents, so that a document is diffed
@@ -48,6 +48,7 @@
 	// base is the version that the delta refers to, or zero for the full document.
 	base       revision.Version
 	compressed bool
+	settled    bool
 }
 
 // transfer is a reply that is encoded on first use.
@@ -87,7 +88,7 @@
 	if doc == nil {
 		return nil, status.New(status.NotFound, "", "no current document for key %.40q", in.Key)
 	}
-	id := transferID{compressed: in.AcceptCompressed}
+	id := transferID{compressed: in.AcceptCompressed, settled: doc.Settled}
 	var base *documents.Document
 	if digest, ok := revision.ParseDigest(in.HaveDigest); ok {
 		if base = s.store.Find(in.Key, revision.Version{Era: in.HaveEra, Revision: in.HaveRevision, Digest: digest}); base != nil {
@@ -102,7 +103,7 @@
 // encodeTransfer returns the reply with doc, as a delta from base if that is smaller. base may be
 // nil.
 func encodeTransfer(key string, doc, base *documents.Document, compressed bool) *peerpb.FetchReply {
-	reply := &peerpb.FetchReply{Key: key, Revision: doc.Version.Revision, Digest: doc.Version.Digest[:]}
+	reply := &peerpb.FetchReply{Key: key, Revision: doc.Version.Revision, Digest: doc.Version.Digest[:], Settled: doc.Settled}
 	payload := doc.Content.Bytes()
 	if base != nil {
 		// Marshal fails only for strings with invalid UTF-8, and a delta has none.
--- a/internal/configsync/transfer_test.go
+++ b/internal/configsync/transfer_test.go
@@ -54,7 +54,7 @@
 		contents[i], err = delta.New(fmt.Appendf(nil, `{"revision":%d,"services":[%s]}`, i+1, strings.Join(services, ",")))
 		is.NoErr(err)
 		services[500] = `{"name":"changed"}`
-		s.accept(platformapi.SheetKey, contents[i], "platform")
+		s.accept(platformapi.SheetKey, contents[i], origin{actor: "platform"})
 	}
 	base := contents[0].Digest()
 	fetch := func(in *peerpb.FetchRequest) *peerpb.FetchReply {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -35,6 +35,8 @@
 	// DocumentsRefused counts invalid versions of documents by document key. The current version stays in
 	// force.
 	DocumentsRefused expvar.Map
+	// ListFaults counts target lists that contradict an earlier one, by configsync.ListFault.
+	ListFaults expvar.Map
 	// SheetRevision and IndexRevision are the current revisions, zero until both documents are
 	// known.
 	SheetRevision, IndexRevision expvar.Int
@@ -78,6 +80,7 @@
 	vars.Set("reply_mismatches_total", &m.ReplyMismatches)
 	vars.Set("platform_failures_total", &m.PlatformFailures)
 	vars.Set("documents_refused_total", &m.DocumentsRefused)
+	vars.Set("target_list_faults_total", &m.ListFaults)
 	vars.Set("sheet_revision", &m.SheetRevision)
 	vars.Set("index_revision", &m.IndexRevision)
 	vars.Set("detached", &m.Detached)
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -198,6 +198,7 @@
 		CheckTargets:  (*targetlist.Document).Validate,
 		OnReadFailure: func(key string) { d.metrics.PlatformFailures.Add(key, 1) },
 		OnRefused:     func(key string) { d.metrics.DocumentsRefused.Add(key, 1) },
+		OnListFault:   func(fault configsync.ListFault) { d.metrics.ListFaults.Add(string(fault), 1) },
 		OnChange:      func(*configsync.View) { d.onChange() },
 	})
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -15,6 +15,7 @@
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/published"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/protocol/targetlist"
 )
 
 // minChangeInterval is the minimum time between a watch that returned changes and the next watch,
@@ -42,13 +43,14 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (published.Changes, error)
 }
 
-// Feed implements configsync.Platform on top of a Source. Its target lists
+// Feed implements configsync.Platform and configsync.SnapshotSource on top of a Source. Its target lists
 // are consistent snapshots: a list of some revision has the registrations of the source as of that
 // revision. The versions of its documents count the changes that it has seen, because the revisions of
 // the source are comparable only within an era. It is safe for concurrent use.
 type Feed struct {
 	source Source
 	log    zerolog.Logger
+	now    func() time.Time
 	// calls coalesces concurrent calls to the source.
 	calls singleflight.Group
 
@@ -66,8 +68,20 @@
 	era uint64
 }
 
+// Option changes a Feed under construction.
+type Option func(*Feed)
+
+// WithClock makes the feed read the time from now, for simulations. The default is time.Now.
+func WithClock(now func() time.Time) Option { return func(f *Feed) { f.now = now } }
+
 // New returns a feed that has not read anything yet.
-func New(source Source, log zerolog.Logger) *Feed { return &Feed{source: source, log: log} }
+func New(source Source, log zerolog.Logger, options ...Option) *Feed {
+	f := &Feed{source: source, log: log, now: time.Now}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
 
 // Hosts implements configsync.Platform. The source does not list entries.
 func (f *Feed) Hosts(context.Context) ([]platformapi.Host, error) { return nil, nil }
@@ -75,7 +89,7 @@
 // Get implements configsync.Platform.
 func (f *Feed) Get(ctx context.Context, key string) (platformapi.Document, error) {
 	f.mu.Lock()
-	fresh := time.Since(f.loadedAt) < loadTTL && f.state.era == f.era
+	fresh := f.now().Sub(f.loadedAt) < loadTTL && f.state.era == f.era
 	f.mu.Unlock()
 	if !fresh {
 		if err := f.coalesce("load", func() error { return f.load(ctx) }); err != nil {
@@ -87,14 +101,14 @@
 
 // Watch implements configsync.Platform.
 func (f *Feed) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platformapi.Document, bool, error) {
-	end := time.Now().Add(wait)
+	end := f.now().Add(wait)
 	called := false
 	for {
 		if f.version(key) > after {
 			doc, err := f.document(key)
 			return doc, err == nil, err
 		}
-		if called && !time.Now().Before(end) {
+		if called && !f.now().Before(end) {
 			return platformapi.Document{}, false, nil
 		}
 		// Each call waits for the full duration, so that the watches of all documents stay
@@ -137,6 +151,27 @@
 	return platformapi.Document{Key: key, Version: targetsVersion, Value: value, ReadAt: st.readAt}, nil
 }
 
+// Correct implements configsync.SnapshotSource.
+func (f *Feed) Correct(list *targetlist.Document) (doc platformapi.Document, known bool) {
+	f.mu.Lock()
+	st := &f.state
+	if f.loadedAt.IsZero() || list.Era != st.era || list.Revision < st.targetsRevision || list.Revision > st.coverage.Revision() {
+		f.mu.Unlock()
+		return platformapi.Document{}, false
+	}
+	correct := st.hasTargets(list.Targets)
+	if !correct {
+		st.targetsRevision = st.coverage.Revision()
+		f.targetsVersion++
+	}
+	f.mu.Unlock()
+	if correct {
+		return platformapi.Document{}, true
+	}
+	doc, err := f.document(platformapi.TargetsKey)
+	return doc, err == nil
+}
+
 // replaceState makes next the current state. The caller holds mu.
 func (f *Feed) replaceState(next snapshot) {
 	if next.era != f.state.era || next.sheet.Revision != f.state.sheet.Revision {
@@ -186,7 +221,7 @@
 
 // loadState reads the full state and the changes since.
 func (f *Feed) loadState(ctx context.Context, stale bool) error {
-	requested := time.Now()
+	requested := f.now()
 	read, err := f.source.Read(ctx, stale)
 	f.recordEra(read.Era)
 	if err != nil {
@@ -206,12 +241,12 @@
 		return status.New(status.RevisionTooOld, "", "the store was restored to era %d while era %d was read", f.era, read.Era)
 	}
 	event := f.log.Info().Bool("stale", stale).Uint64("era", read.Era).Uint64("oldest_page", oldest).Uint64("newest_page", newest).
-		Uint64("read_at", next.coverage.Revision()).Uint64("at", f.state.coverage.Revision()).Dur("took", time.Since(requested))
+		Uint64("read_at", next.coverage.Revision()).Uint64("at", f.state.coverage.Revision()).Dur("took", f.now().Sub(requested))
 	if !next.coverage.Complete() {
 		event.Msg("full state discarded: the store returned no changes up to its newest page")
 		return status.New(status.RevisionTooOld, "", "changes end at revision %d, before page %d", next.coverage.Revision(), newest)
 	}
-	f.loadedAt = time.Now()
+	f.loadedAt = f.now()
 	if next.era == f.state.era {
 		if next.coverage.Revision() < f.state.coverage.Revision() {
 			event.Msg("full state discarded: a concurrent watch has returned a newer one")
@@ -229,7 +264,7 @@
 // changes.
 func (f *Feed) awaitChanges(ctx context.Context, wait time.Duration) error {
 	f.mu.Lock()
-	at, era, pause := f.state.coverage.Revision(), f.state.era, time.Until(f.changedAt.Add(minChangeInterval))
+	at, era, pause := f.state.coverage.Revision(), f.state.era, f.changedAt.Add(minChangeInterval).Sub(f.now())
 	outdated := f.loadedAt.IsZero() || f.state.era != f.era
 	f.mu.Unlock()
 	if outdated {
@@ -254,10 +289,10 @@
 		return nil // A concurrent load has replaced the state, or the response precedes a restore.
 	}
 	if changes.Changed {
-		f.changedAt = time.Now()
+		f.changedAt = f.now()
 	}
 	next := f.state
-	next.apply(changes, time.Now())
+	next.apply(changes, f.now())
 	f.replaceState(next)
 	return nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -227,3 +227,39 @@
 	is.Equal(f.state.sheet.Revision, uint64(7))
 	is.Equal(len(f.state.targets), 2)
 }
+
+// Guards against a list of a peer that contradicts the state and is kept, and against one that the state
+// does not cover, or has, and is replaced.
+func TestContradictingListIsCorrected(t *testing.T) {
+	is := is.New(t)
+	f := New(&fakeSource{stale: stateAt(113, "a"), changes: published.Changes{ResumeRevision: 115}}, zerolog.Nop())
+	_, known := f.Correct(&targetlist.Document{})
+	is.True(!known) // Nothing has been read.
+	_, err := f.Get(t.Context(), platformapi.TargetsKey)
+	is.NoErr(err)
+	is.Equal(f.state.targetsRevision, uint64(113))
+	right, wrong := []targetlist.Target{{ID: "a"}}, []targetlist.Target{{ID: "a", Leaving: true}}
+	for _, c := range []struct {
+		list    targetlist.Document
+		known   bool
+		correct uint64 // The revision of the correction, or 0 for none.
+	}{
+		{targetlist.Document{Revision: 112, Targets: wrong}, false, 0}, // The feed's list is newer.
+		{targetlist.Document{Revision: 114, Targets: right}, true, 0},
+		{targetlist.Document{Revision: 116, Targets: wrong}, false, 0},
+		{targetlist.Document{Era: 1, Revision: 114, Targets: wrong}, false, 0},
+		{targetlist.Document{Revision: 114, Targets: wrong}, true, 115},
+		{targetlist.Document{Revision: 115, Targets: append(right, wrong...)}, true, 115},
+	} {
+		doc, known := f.Correct(&c.list)
+		is.Equal(known, c.known)
+		if c.correct == 0 {
+			is.Equal(len(doc.Value), 0)
+			continue
+		}
+		list, err := targetlistOf(doc)
+		is.NoErr(err)
+		is.Equal(list, targetlist.Document{Revision: c.correct, Targets: right})
+	}
+	is.True(f.version(platformapi.TargetsKey) > 1) // A watch returns the list with its new revision.
+}
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// hasTargets reports whether the snapshot has exactly the given targets, in any order.
+func (s *snapshot) hasTargets(targets []targetlist.Target) bool {
+	if len(targets) != len(s.targets) {
+		return false
+	}
+	for _, t := range targets {
+		if own, ok := s.targets[t.ID]; !ok || own != t {
+			return false
+		}
+	}
+	return true
+}
+
 // targetList returns the targets as a document, sorted by id.
 func (s *snapshot) targetList() targetlist.Document {
 	d := targetlist.Document{Era: s.era, Revision: s.targetsRevision, Targets: make([]targetlist.Target, 0, len(s.targets))}
--- a/protocol/targetlist/targetlist.go
+++ b/protocol/targetlist/targetlist.go
@@ -56,6 +56,25 @@
 	return removed, total
 }
 
+// CountReturned returns the number of targets that are leaving in d and not leaving in later. A target does
+// not stop leaving before it starts again. Both lists must be sorted by ID; others may be counted too low.
+func (d *Document) CountReturned(later *Document) int {
+	returned, next := 0, 0
+	for i := range d.Targets {
+		t := &d.Targets[i]
+		for next < len(later.Targets) && later.Targets[next].ID < t.ID {
+			next++
+		}
+		if next == len(later.Targets) {
+			break
+		}
+		if l := &later.Targets[next]; t.Leaving && l.ID == t.ID && l.Started == t.Started && !l.Leaving {
+			returned++
+		}
+	}
+	return returned
+}
+
 // maxSlots is the maximum number of slots of one target.
 const maxSlots = 10_000
 
