Show how old the target list of a request was

Cause: after a request to a leaving target, operators could see which list it followed, but not how old its oldest part was. Change: the acceptance of a list from the platform states how long before its oldest part was read. balsam-ctl explain prints the age at the arrival of the request, or the time since the list came from a peer.

--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -91,7 +91,7 @@
 	case revision.Faulty:
 		fault = status.New(status.InvalidArgument, "", "revision is not a positive integer")
 	}
-	s.recordDecision(key, candidate, decision, from.actor, fault)
+	s.recordDecision(key, candidate, decision, from, fault)
 	if decision == revision.Unchanged && from.settled {
 		s.store.Settle(key, candidate)
 	}
@@ -113,7 +113,7 @@
 // refuseData reports data from actor that is not a document.
 func (s *Syncer) refuseData(key string, data []byte, actor string, fault error) {
 	version := revision.Version{Digest: revision.DigestOf(data)}
-	s.recordDecision(key, version, revision.Faulty, actor, fault)
+	s.recordDecision(key, version, revision.Faulty, origin{actor: actor}, fault)
 }
 
 // parse decodes and validates a document. Only the parts that differ from the current document are
@@ -191,7 +191,7 @@
 }
 
 // recordDecision writes the audit event of a decision, once for each refused version.
-func (s *Syncer) recordDecision(key string, v revision.Version, decision revision.Decision, actor string, fault error) {
+func (s *Syncer) recordDecision(key string, v revision.Version, decision revision.Decision, from origin, fault error) {
 	detail := fmt.Sprintf("%s revision %d digest %s: %s", key, v.Revision, v.Digest, decision)
 	if v.Era > 0 {
 		detail = fmt.Sprintf("%s era %d revision %d digest %s: %s", key, v.Era, v.Revision, v.Digest, decision)
@@ -201,16 +201,19 @@
 	}
 	switch decision {
 	case revision.Accept:
-		s.deps.Audit.Record(time.Now(), audit.DocumentAccepted, actor, detail)
+		if from.actor == platformActor && !from.readAt.IsZero() {
+			detail += fmt.Sprintf(", oldest part read %d ms before", time.Since(from.readAt).Milliseconds())
+		}
+		s.deps.Audit.Record(time.Now(), audit.DocumentAccepted, from.actor, detail)
 	case revision.Conflict:
-		s.recordConflict(key, v, actor)
+		s.recordConflict(key, v, from.actor)
 	case revision.TooOld, revision.Faulty:
 		if !s.refusals.add(refusal{key, v, decision == revision.Faulty}) {
 			return
 		}
-		s.deps.Audit.Record(time.Now(), audit.DocumentRefused, actor, detail)
+		s.deps.Audit.Record(time.Now(), audit.DocumentRefused, from.actor, detail)
 		if decision == revision.Faulty {
-			s.reportInvalid(key, v, actor, fault)
+			s.reportInvalid(key, v, from.actor, fault)
 		}
 	}
 }
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -220,10 +220,6 @@
 	IndexDigest revision.Digest
 	// Targets is nil until a target list has been accepted, and if Config.Keys does not contain it.
 	Targets *targetlist.Document
-	// TargetsSource is the actor that Targets was accepted from, and TargetsReadAt the time at which its
-	// oldest part was read from the platform or, for a list of a peer, at which it was received.
-	TargetsSource string
-	TargetsReadAt time.Time
 }
 
 // Member is another entry.
--- a/internal/configsync/documents/documents.go
+++ b/internal/configsync/documents/documents.go
@@ -23,7 +23,7 @@
 	// Value is the decoded document.
 	Value any
 	// Source is the actor that the document was accepted from, and ReadAt the time at which its oldest
-	// part was read.
+	// part was read from the platform or, for a document of a peer, at which it was received.
 	Source string
 	ReadAt time.Time
 	// Settled is set if the platform has confirmed that the revision has this document; see
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -280,7 +280,7 @@
 		view.Index, view.IndexDigest = doc.Value.(*index.Document), doc.Version.Digest
 	}
 	if doc := s.store.Current(platformapi.TargetsKey); doc != nil {
-		view.Targets, view.TargetsSource, view.TargetsReadAt = doc.Value.(*targetlist.Document), doc.Source, doc.ReadAt
+		view.Targets = doc.Value.(*targetlist.Document)
 	}
 	s.view.Store(view)
 	s.viewMu.Unlock()
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/balsamstall/balsamstall/internal/cli"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
 
@@ -98,12 +99,13 @@
 		entry, key string
 		revision   uint64
 	}
-	accepted := make(map[documentVersion]decision)
+	accepted := make(map[documentVersion]*logLine)
 	var decisions []decision
 	err := readLog(in, func(l *logLine) {
 		if l.Kind == "document_accepted" {
-			if key, version, revision, ok := parseDocument(l.Detail); ok {
-				accepted[documentVersion{l.Entry, key, revision}] = decision{l.Time, l.Entry, fmt.Sprintf("%s %s came into force, from %s", key, version, l.Actor)}
+			if key, _, revision, ok := parseDocument(l.Detail); ok {
+				acceptance := *l
+				accepted[documentVersion{l.Entry, key, revision}] = &acceptance
 			}
 			return
 		}
@@ -112,8 +114,8 @@
 		}
 		if l.Message == "request" {
 			for key, revision := range map[string]uint64{"sheet": l.Sheet, "targets": l.Targets} {
-				if d, ok := accepted[documentVersion{l.Entry, key, revision}]; ok {
-					decisions = append(decisions, d)
+				if acceptance, ok := accepted[documentVersion{l.Entry, key, revision}]; ok {
+					decisions = append(decisions, acceptance.acceptance(l))
 				}
 			}
 		}
@@ -122,6 +124,29 @@
 	return decisions, err
 }
 
+// acceptance returns the acceptance of a document that a request used, with the age of its oldest part when
+// the request arrived. A list of a peer counts from its receipt.
+func (l *logLine) acceptance(request *logLine) decision {
+	key, version, _, _ := parseDocument(l.Detail)
+	text := fmt.Sprintf("%s %s came into force, from %s", key, version, l.Actor)
+	acceptedAt, err := time.Parse(time.RFC3339Nano, l.Time)
+	loggedAt, requestErr := time.Parse(time.RFC3339Nano, request.Time)
+	if key == platformapi.TargetsKey && err == nil && requestErr == nil {
+		age := loggedAt.Sub(acceptedAt).Milliseconds() - request.TookMS
+		var readBefore int64
+		if _, detail, ok := strings.Cut(l.Detail, oldestPart); ok {
+			fmt.Sscanf(detail, "%d ms before", &readBefore)
+			text += fmt.Sprintf("; when the request arrived, its oldest part had been read %d ms before", age+readBefore)
+		} else {
+			text += fmt.Sprintf("; the request arrived %d ms later", age)
+		}
+	}
+	return decision{l.Time, l.Entry, text}
+}
+
+// oldestPart precedes, in the detail of an acceptance, the time for which the oldest part was known.
+const oldestPart = "oldest part read "
+
 // parseDocument returns the key and the version of an accepted document. The version of a target list
 // from a platform that counts the restores of its store names the era too.
 func parseDocument(detail string) (key, version string, revision uint64, ok bool) {
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -73,6 +73,20 @@
 	is.Equal(len(decisions), 0)
 }
 
+// Guards against an explanation that does not show how old the target list was that led to a leaving target.
+func TestExplainNamesTheAgeOfTheTargetList(t *testing.T) {
+	is := is.New(t)
+	for actor, want := range map[string]string{
+		`"platform","detail":"targets revision 115 digest ab: accept, oldest part read 40 ms before"`: "targets revision 115 came into force, from platform; when the request arrived, its oldest part had been read 1690 ms before",
+		`"peer e-2","detail":"targets revision 115 digest ab: accept"`:                                "targets revision 115 came into force, from peer e-2; the request arrived 1650 ms later",
+	} {
+		decisions, err := explain(strings.NewReader(`{"entry":"e-1","kind":"document_accepted","actor":`+actor+`,"time":"2026-12-04T05:00:00.25Z"}
+{"entry":"e-1","request_id":"id-1","service":"one","targets":115,"took_ms":100,"time":"2026-12-04T05:00:02Z","message":"request"}`), "id-1")
+		is.NoErr(err)
+		is.Equal(decisions[0].Text, want)
+	}
+}
+
 // Guards against an explanation that does not say that the entry reached no target, or that attributes a
 // request to a target list of another era.
 func TestExplainNamesDetoursAndEras(t *testing.T) {
