--- a/coordination/fuzzyread/fuzzyread.go
+++ b/coordination/fuzzyread/fuzzyread.go
@@ -13,8 +13,7 @@
 
 // Coverage tells up to which revision the data of each key is known. The zero value covers nothing.
 type Coverage struct {
-	// pages holds the pages that are newer than revision or were at the time of the read, in the order
-	// of their keys. It is nil once the snapshot is complete.
+	// pages holds the pages of the read, in the order of their keys, until the data is complete.
 	pages []published.Page
 	// revision is the revision up to which all changes have been applied.
 	revision uint64
@@ -27,8 +26,7 @@
 	return Coverage{pages: pages, revision: resume}
 }
 
-// Oldest and Newest return the lowest and the highest revision of a page, or the revision up to which
-// all changes have been applied if there are no pages.
+// Oldest returns the lowest revision of a page, or Revision once the data is complete.
 func (c *Coverage) Oldest() uint64 {
 	oldest := c.Newest()
 	for _, p := range c.pages {
@@ -37,7 +35,7 @@
 	return oldest
 }
 
-// Newest is described at Oldest.
+// Newest returns the highest revision of a page, or Revision once the data is complete.
 func (c *Coverage) Newest() uint64 {
 	if len(c.pages) == 0 {
 		return c.revision
@@ -63,7 +61,7 @@
 	return after > 0 && revision <= c.pages[after-1].Revision
 }
 
-// Advance records that all changes up to a revision have been applied, unless the data includes them.
+// Advance records that the data includes all changes up to a revision.
 func (c *Coverage) Advance(revision uint64) {
 	c.revision = max(c.revision, revision)
 	if c.Complete() {
--- a/internal/configsync/correct.go
+++ b/internal/configsync/correct.go
@@ -10,8 +10,8 @@
 	"github.com/balsamstall/balsamstall/protocol/targetlist"
 )
 
-// ListFault is a way in which a target list contradicts an earlier one of the same era. Settled lists never
-// do.
+// ListFault is a way in which a target list contradicts an earlier one of the same era. Settled lists do so
+// only if a target without a start time starts again under its id.
 type ListFault string
 
 // List faults.
