--- a/coordination/fuzzyread/fuzzyread.go
+++ b/coordination/fuzzyread/fuzzyread.go
@@ -51,7 +51,7 @@
 func (c *Coverage) Revision() uint64 { return c.revision }
 
 // Includes reports whether the data already includes a change of key at the given revision. Applying
-// it would undo later changes of the key.
+// it undoes later changes of the key until these are applied too.
 func (c *Coverage) Includes(key string, revision uint64) bool {
 	if revision <= c.revision {
 		return true
