Count a target's status 500 as a failure and tell peers at once

Cause: a target that answers every request with status 500 kept its share: only broken connections and endless replies marked a target as failing. Result: go test -race ./internal/engine ./coordination/failing ./internal/architecture ./internal/relay: passed; the engine tests of this commit 50 times: passed. Each new test failed with its rule disabled.

--- a/coordination/failing/failing.go
+++ b/coordination/failing/failing.go
@@ -1,5 +1,5 @@
 // Package failing tracks the targets on which attempts failed after they were sent, from this entry
-// or from another. Such a target loses some of its answers, and each lost answer costs a repeat (a
+// or from another. An attempt fails when its connection breaks or the target replies with an error. Such a target loses some of its answers, and each lost answer costs a repeat (a
 // retry or hedge). With many entries and few requests per shard, one entry tries a target only every
 // few seconds, too rarely to detect the fault by itself while it lasts. Entries therefore exchange
 // reports.
@@ -63,6 +63,15 @@
 	return known && now-at < TTL
 }
 
+// Remaining returns the time for which a target still counts as failing, zero if it does not.
+func (s *Set) Remaining(target string, now time.Duration) time.Duration {
+	at, known := s.lastFailure[target]
+	if !known {
+		return 0
+	}
+	return max(at+TTL-now, 0)
+}
+
 // Len returns the number of targets held, expired ones included.
 func (s *Set) Len() int { return len(s.lastFailure) }
 
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -168,7 +168,7 @@
 	}
 	e.recordAttachment(a.Target, err, start)
 	e.recordAttemptError(a.Target, req.ID, err)
-	e.recordBrokenAttempt(a.Target, req.ID, err)
+	e.recordAttemptEnd(req, &a, err)
 	return reply, err
 }
 
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -86,3 +86,6 @@
 
 // Error implements the error interface.
 func (f *ReplyError) Error() string { return "target replied " + http.StatusText(f.Reply.HTTPStatus) }
+
+// TargetFailed reports whether the reply states a failure of the target itself.
+func (f *ReplyError) TargetFailed() bool { return f.Reply.HTTPStatus == http.StatusInternalServerError }
