--- a/internal/targetrate/targetrate.go
+++ b/internal/targetrate/targetrate.go
@@ -55,6 +55,9 @@
 	// limited is the number of targets with a limit, read first to avoid the lock while there are
 	// none.
 	limited atomic.Int64
+	// confirmUntil is the time, as a time.Duration on Clock, until which replies without a limit are
+	// recorded after a limit ended, also while there is none.
+	confirmUntil atomic.Int64
 
 	mu sync.Mutex
 	// announcements is guarded by mu.
@@ -102,10 +105,10 @@
 // RecordReply records what a reply to a request sent at the given time states about the limit of its
 // target. conclusive is set if a reply without a statement proves that the target has no limit.
 func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, conclusive bool) {
-	if !rate.Stated && (!conclusive || !l.Active()) {
+	now := l.cfg.Clock()
+	if !rate.Stated && (!conclusive || !l.Active() && int64(now) >= l.confirmUntil.Load()) {
 		return
 	}
-	now := l.cfg.Clock()
 	l.mu.Lock()
 	isNews := false
 	if rate.Stated {
@@ -129,16 +132,22 @@
 // Merge merges a peer's report.
 func (l *Limiter) Merge(peer string, r ratelimit.Announcement) {
 	l.mu.Lock()
-	isNews := l.announcements.Merge(r, l.cfg.Clock())
+	now := l.cfg.Clock()
+	isNews := l.announcements.Merge(r, now)
 	l.limited.Store(int64(l.announcements.Limited()))
+	// The report may have ended the doubt about another announcement, which counts now.
+	counts, _ := l.announcements.Announcement(r.ID, now)
 	l.mu.Unlock()
 	if isNews {
-		l.announce(r, "", peer)
+		l.announce(counts, "", peer)
 	}
 }
 
 // announce logs a new announcement and passes it on.
 func (l *Limiter) announce(r ratelimit.Announcement, requestID, peer string) {
+	if !r.Limited {
+		l.confirmUntil.Store(int64(l.cfg.Clock() + ratelimit.EndConfirmation))
+	}
 	l.cfg.Metrics.Announcements.Add(1)
 	l.cfg.NotifyPeers()
 	event := l.cfg.Log.Info().Str("target", r.ID).Int64("age_ms", r.Age.Milliseconds())
