Keep the proof that a failed request has not run

(4) a long message of which no byte was written counted as run if its write had not ended when the read failed; (5) a target's refusal with a status other than 503 was passed on, and its X-Not-Executed field even after another attempt might have run; (6) a home whose caller stated no wait answered when the receiving entry had given up on it. Result: go test -race ./internal/engine ./internal/relay ./transport/targethttp ./platform/pathtest ./internal/entry ./internal/architecture: passed.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -182,9 +182,7 @@
 
 // handleResult processes the result of an attempt.
 func (q *query) handleResult(ctx context.Context, r attemptResult) {
-	if r.err == nil || status.From(r.err).Outcome != status.NotRun {
-		q.attemptsOutcome = status.Unknown
-	}
+	q.recordOutcome(r.err)
 	if r.planNumber != q.planNumber {
 		return
 	}
--- a/internal/engine/failing_test.go
+++ b/internal/engine/failing_test.go
@@ -53,24 +53,32 @@
 func (noConnections) Reachable(context.Context, string) bool { return true }
 func (noConnections) DropIdle()                              {}
 
-// request returns a request whose attempts reply answers.
+// request returns a request for one shard whose attempts reply answers.
 func (e *testEntry) request(content string, reply func(ctx context.Context, target string) error) (*engine.Request, *testWork) {
-	w := &testWork{reply: reply}
+	w := &testWork{shards: [][]string{testTargets}, versions: 1, reply: reply}
 	return &engine.Request{ID: content, Service: "s", Arrival: time.Now(), Deadline: time.Now().Add(time.Second), SkipAdmission: true, Priority: 1,
 		Fingerprint: e.Fingerprint("w", "s", content), Groups: []string{"g"}, GroupTargets: [][]string{testTargets}, Work: w}, w
 }
 
 // testWork implements engine.Work.
 type testWork struct {
-	reply func(ctx context.Context, target string) error
+	shards [][]string
+	// versions is the number of index versions of the shards.
+	versions uint64
+	reply    func(ctx context.Context, target string) error
 
 	mu sync.Mutex
 	// sent lists the targets of the attempts. Guarded by mu.
 	sent []string
 }
 
-func (w *testWork) ChooseSnapshot(func(string) bool, func(ids.Snapshot) bool) (*index.Snapshot, int, bool) {
-	return &index.Snapshot{Shards: [][]string{testTargets}}, 1, true
+func (w *testWork) ChooseSnapshot(_ func(string) bool, excluded func(ids.Snapshot) bool) (*index.Snapshot, int, bool) {
+	for version := uint64(1); version <= w.versions; version++ {
+		if s := (ids.Snapshot{IndexVersion: version}); excluded == nil || !excluded(s) {
+			return &index.Snapshot{Snapshot: s, Shards: w.shards}, len(w.shards), true
+		}
+	}
+	return nil, 0, false
 }
 func (w *testWork) StartMerge(*index.Snapshot)        {}
 func (w *testWork) Accept(int, any)                   {}
--- a/internal/engine/query.go
+++ b/internal/engine/query.go
@@ -333,8 +333,6 @@
 	}
 	previous := q.snapshot
 	q.excluded = append(q.excluded, previous.Snapshot)
-	// Attempts of the first plan may still be running.
-	q.attemptsOutcome = status.Unknown
 	next, covered, ok := q.req.Work.ChooseSnapshot(q.engine.usable, q.isExcluded)
 	if !ok || covered < len(next.Shards) {
 		// A partial answer at the current snapshot is better than another partial answer.
@@ -345,6 +343,10 @@
 		q.endIsolatedRun(false)
 		q.waitingForIsolated = nil
 	}
+	if q.outstanding() > 0 {
+		// The results of these attempts are dropped with the previous plan.
+		q.attemptsOutcome = status.Unknown
+	}
 	return q.plan(ctx) == nil
 }
 
@@ -416,13 +418,9 @@
 }
 
 // failureError returns the error of a query with no reply, or with too few under
-// Contract.RequireMinRatio.
+// Contract.RequireMinRatio, and ends its attempts.
 func (q *query) failureError(unfinished bool) error {
-	outcome := q.attemptsOutcome
-	if unfinished {
-		// An attempt that has not reported yet may have reached its target.
-		outcome = status.Unknown
-	}
+	outcome := q.finalOutcome()
 	code := status.Unavailable
 	if unfinished && !time.Now().Before(q.req.Deadline.Add(-answerMargin)) {
 		code = status.DeadlineExceeded
--- a/internal/relay/cutoff_test.go
+++ b/internal/relay/cutoff_test.go
@@ -33,3 +33,15 @@
 	is.Equal(cutoffGoal(goal, goal*3/4), goal)
 	is.Equal(cutoffGoal(goal, goal), lateGoalFactor*goal)
 }
+
+// Guards against a home that answers when the receiving entry has given up on it, so that the outcome of
+// a request that reached no target is unknown there, also if the caller did not state its wait.
+func TestHomeAnswersBeforeTheReceiverGivesUp(t *testing.T) {
+	is := is.New(t)
+	p := &plan{sheet: &sheet.Sheet{}, targets: &targetlist.Document{}}
+	r := &route{service: &sheet.Service{Latency: sheet.Latency{ContractMS: 60, MaxDeadlineMS: 1000}}, relay: &sheet.Relay{}}
+	arrival := time.Now()
+	atReceiver := newEngineRequest(&relayapi.Request{Arrival: arrival}, p, r)
+	atHome := newEngineRequest(&relayapi.Request{Arrival: arrival, HopMargin: hopMargin}, p, r)
+	is.Equal(atReceiver.Deadline.Sub(atHome.Deadline), hopMargin)
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -147,7 +147,8 @@
 // newEngineRequest describes a request to the engine.
 func newEngineRequest(req *relayapi.Request, p *plan, route *route) *engine.Request {
 	svc := route.service
-	wait := time.Duration(svc.Latency.MaxDeadlineMS) * time.Millisecond
+	// A home answers before the receiver gives up on it, which would leave the outcome unknown.
+	wait := time.Duration(svc.Latency.MaxDeadlineMS)*time.Millisecond - req.HopMargin
 	if req.Wait > 0 {
 		wait = min(wait, max(req.Wait-callerMargin, 0))
 	}
@@ -218,9 +219,10 @@
 		return &relayapi.Answer{Service: engineReq.Service, Reply: w.reply}
 	}
 	var failed *relayapi.ReplyError
-	if errors.As(err, &failed) && canPassThrough(failed.Reply.HTTPStatus) {
+	if errors.As(err, &failed) && !failed.Reply.NotRun && canPassThrough(failed.Reply.HTTPStatus) {
 		return &relayapi.Answer{Service: engineReq.Service, Reply: failed.Reply}
 	}
+	// A target's statement that it did not run the request concerns one attempt only.
 	return errorAnswer(status.From(err))
 }
 
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -76,13 +76,20 @@
 	return c, err
 }
 
-// acquireForAttempt acquires a connection and then asks opt.MaySend whether to use it.
+// acquireForAttempt acquires a connection and then asks opt.MaySend whether to use it. An attempt whose
+// ctx has ended meanwhile is not sent: its outcome would be unknown for nothing.
 func (p *pool) acquireForAttempt(ctx context.Context, target string, opt Options) (*conn, error) {
 	c, err := p.acquire(ctx, opt.FreshConnection)
-	if err != nil || opt.MaySend == nil {
-		return c, err
+	if err != nil {
+		return nil, err
+	}
+	if opt.MaySend != nil {
+		err = opt.MaySend(target)
 	}
-	if err := opt.MaySend(target); err != nil {
+	if err == nil && ctx.Err() != nil {
+		err = contextError(ctx, status.NotRun, "nothing was sent to target "+p.address)
+	}
+	if err != nil {
 		p.release(c)
 		return nil, err
 	}
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -123,7 +123,9 @@
 		// The target must not take the rest of the body for another request.
 		x.reusable = false
 		x.interrupt()
-		<-written
+		if w := <-written; err != nil && w.err != nil {
+			return nil, writeOutcome(w.n), err
+		}
 	}
 	return reply, status.Unknown, err
 }
