Send no requests to targets of evacuated zones

Cause: the platform asks with a key per zone that the targets of the zone get no more requests; nothing read the key. Plans leave the targets out, the engine blocks them for earlier requests and when an attempt has its connection, and they return cold. Metrics evacuated_zones and evacuation_moved, a log line and an audit record for the start and the end. Result: go test -race ./platform/store ./internal/feed ./internal/configsync/... ./internal/engine ./internal/relay ./coordination/restore ./coordination/fuzzyread ./protocol/... ./state/audit ./internal/architecture: passed, before the test of platform/store was added; that one 3 runs: passed. The new tests of platform/pathtest, 5 runs: passed. Seen red: TestEvacuatedZoneGetsNoRequests (30 and 60 requests in the zone) and TestRequestsAreRefusedWhileAllZonesAreEvacuated (200) with plan and engine rules off, TestRetryOfAnEarlierRequestAvoidsAnEvacuatedZone with the engine rule off (1 request); TestEvacuationsAreReadAndWatched without the watch, and with invalid names kept (list refused); TestEvacuationsBetweenPagesOfDifferentAgeAreServed when the watch does not resume from the page of the evacuations.

--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -193,7 +193,8 @@
 
 // merge returns list with the kept targets, which replace listed ones with the same id.
 func (r *Reconciler) merge(list *targetlist.Document) *targetlist.Document {
-	merged := &targetlist.Document{Era: list.Era, Revision: list.Revision, Targets: make([]targetlist.Target, 0, len(list.Targets)+len(r.kept))}
+	merged := &targetlist.Document{Era: list.Era, Revision: list.Revision, Evacuated: list.Evacuated,
+		Targets: make([]targetlist.Target, 0, len(list.Targets)+len(r.kept))}
 	for _, t := range list.Targets {
 		if _, kept := r.kept[t.ID]; !kept {
 			merged.Targets = append(merged.Targets, t)
--- a/internal/configsync/decode.go
+++ b/internal/configsync/decode.go
@@ -41,9 +41,11 @@
 			mergeInto(&d.Services, reduced.Origins["services"], base.Value.(*index.Document).Services)
 		return d, ok
 	case platformapi.TargetsKey:
+		old := base.Value.(*targetlist.Document)
 		d := &targetlist.Document{}
-		ok = decodeStrict(reduced, d, "targets") &&
-			mergeInto(&d.Targets, reduced.Origins["targets"], base.Value.(*targetlist.Document).Targets)
+		ok = decodeStrict(reduced, d, "targets", "evacuated") &&
+			mergeInto(&d.Targets, reduced.Origins["targets"], old.Targets) &&
+			mergeInto(&d.Evacuated, reduced.Origins["evacuated"], old.Evacuated)
 		return d, ok
 	}
 	return nil, false
--- a/internal/engine/catalogue.go
+++ b/internal/engine/catalogue.go
@@ -19,6 +19,10 @@
 	// the whole fleet.
 	Groups  []CatalogueGroup
 	Repeats retrybudget.FleetSettings
+	// EvacuatedZones lists the zones whose targets get no requests. ListRevision is the revision of the target
+	// list that states them.
+	EvacuatedZones []string
+	ListRevision   uint64
 }
 
 // CatalogueGroup is a target group whose repeats are bounded.
@@ -59,4 +63,6 @@
 	// ColdFor is the time for which the target stays slow after its start. It is only used when the
 	// target is added.
 	ColdFor time.Duration
+	// Evacuated is set if the target gets no requests because its zone is evacuated.
+	Evacuated bool
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -83,14 +83,17 @@
 	targets Connections
 	policy  policy
 	// guard is nil when the load policies are off.
-	guard       *crashGuard
-	isolated    *isolatedRuns
-	notices     *notices
-	rateLimits  *targetrate.Limiter
-	failing     *failingSet
-	zones       *zoneSet
-	attachment  *attachment
-	notifyPeers func()
+	guard      *crashGuard
+	isolated   *isolatedRuns
+	notices    *notices
+	rateLimits *targetrate.Limiter
+	failing    *failingSet
+	zones      *zoneSet
+	attachment *attachment
+	// evacuatedZones are those of the current catalogue. It is used only by SetCatalogue, whose caller serializes
+	// the calls.
+	evacuatedZones []string
+	notifyPeers    func()
 	// reachedTargets and onDetached are those of Config.
 	reachedTargets func(ctx context.Context) []string
 	onDetached     func(detached bool)
@@ -159,17 +162,14 @@
 	return e
 }
 
-// SetCatalogue replaces the known services, targets and target groups.
+// SetCatalogue replaces the known services, targets and target groups. It must not be called concurrently.
 func (e *Engine) SetCatalogue(c *Catalogue) {
-	e.notices.setListed(c.Targets, e.self.Clock())
-	zones := make(map[string]string, len(c.Targets))
-	for i := range c.Targets {
-		zones[c.Targets[i].ID] = c.Targets[i].Zone
-	}
-	e.rateLimits.SetTargets(startTimes(c.Targets), zones)
+	e.notices.setListed(c, e.self.Clock())
+	e.rateLimits.SetTargets(startTimes(c.Targets), targetZones(c.Targets))
 	e.policy.setCatalogue(c)
 	e.isolated.setTargets(c.Targets)
 	e.attachment.setTargets(c.Targets)
+	e.recordEvacuations(c)
 }
 
 // afterPause drops connections and verifies cached state that may be stale after the process was
--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -14,8 +14,8 @@
 // as live does not bring work back to it.
 const LeavingPeriod = 30 * time.Second
 
-// notices holds the targets that get no new work: those that are leaving and those that asked for a
-// hold-off, which is a time without new work. It is safe for concurrent use.
+// notices holds the targets that get no new work: those that are leaving, those that asked for a
+// hold-off, which is a time without new work, and those of evacuated zones. It is safe for concurrent use.
 type notices struct {
 	// count is the number of notices, read first to avoid the lock while there are none.
 	count atomic.Int64
@@ -26,6 +26,9 @@
 	holdOffs *notice.HoldOffs
 	// started holds the start times of the listed targets in Unix milliseconds. Guarded by mu.
 	started map[string]int64
+	// evacuated maps the targets of evacuated zones to their zones, zones the targets of the catalogue. Guarded
+	// by mu.
+	evacuated, zones map[string]string
 }
 
 func newNotices() *notices {
@@ -37,7 +40,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	f()
-	n.count.Store(int64(n.leaving.Len() + n.holdOffs.Len()))
+	n.count.Store(int64(n.leaving.Len() + n.holdOffs.Len() + len(n.evacuated)))
 }
 
 // blockedUntil reports whether a target currently gets no new work, and until when, zero if unknown.
@@ -47,7 +50,7 @@
 	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if n.leaving.Has(target, now) {
+	if n.evacuated[target] != "" || n.leaving.Has(target, now) {
 		return 0, true
 	}
 	until = n.holdOffs.Until(target, now)
@@ -67,10 +70,11 @@
 }
 
 // setListed replaces the targets of the catalogue.
-func (n *notices) setListed(targets []CatalogueTarget, now time.Duration) {
-	started := startTimes(targets)
+func (n *notices) setListed(c *Catalogue, now time.Duration) {
+	started, zones := startTimes(c.Targets), targetZones(c.Targets)
 	n.update(func() {
 		n.started = started
+		n.setZones(zones, c.EvacuatedZones)
 		n.leaving.SetListed(started, now)
 		n.holdOffs.SetListed(started)
 	})
@@ -85,6 +89,15 @@
 	return started
 }
 
+// targetZones returns the zones of the targets.
+func targetZones(targets []CatalogueTarget) map[string]string {
+	zones := make(map[string]string, len(targets))
+	for i := range targets {
+		zones[targets[i].ID] = targets[i].Zone
+	}
+	return zones
+}
+
 // usable reports whether a target may get new work.
 func (e *Engine) usable(target string) bool { return !e.notices.blocked(target, e.self.Clock()) }
 
@@ -154,6 +167,9 @@
 // may have stopped accepting work, or announced a limit, while the attempt waited.
 func (e *Engine) MaySend(target string) error {
 	if e.notices.blocked(target, e.self.Clock()) {
+		if e.notices.isEvacuated(target) {
+			e.metrics.EvacuationMoved.Add(1)
+		}
 		return status.New(status.NoReplica, status.NotRun, "target %s gets no new work", target)
 	}
 	if !e.rateLimits.Admit(target) {
--- a/internal/engine/loadpolicy.go
+++ b/internal/engine/loadpolicy.go
@@ -60,6 +60,8 @@
 	local bool
 	// failed is set by a failure and cleared by the next reply.
 	failed bool
+	// evacuated is set while the target's zone is evacuated.
+	evacuated bool
 	// coldSince is the time at which the target became cold.
 	coldSince time.Duration
 	// repliedAt is the time of the last reply to an attempt; replied is false before the first.
@@ -159,6 +161,7 @@
 			coldSince: cold,
 		}
 	})
+	l.setEvacuated(targets)
 }
 
 func (l *loadPolicy) service(name string) *serviceState {
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -17,6 +17,11 @@
 	Crashes expvar.Int
 	// LeavingTargets counts targets that were detected to be leaving.
 	LeavingTargets expvar.Int
+	// EvacuatedZones is the number of evacuated zones.
+	EvacuatedZones expvar.Int
+	// EvacuationMoved counts attempts that were refused when they had their connection, because the zone of
+	// their target had been evacuated since the target was chosen.
+	EvacuationMoved expvar.Int
 	// UnreachableZones counts zones that were detected to be unreachable.
 	UnreachableZones expvar.Int
 	// Detached is 1 while this entry reaches no target although its peers do, and 0 otherwise.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -73,6 +73,8 @@
 	vars.Set("rate_tokens_denied_total", &m.RateLimits.TokensDenied)
 	vars.Set("rate_allocator_failures_total", &m.RateLimits.AllocatorFailures)
 	vars.Set("lost_zones_total", &m.UnreachableZones)
+	vars.Set("evacuated_zones", &m.EvacuatedZones)
+	vars.Set("evacuation_moved", &m.EvacuationMoved)
 	vars.Set("pauses_total", &m.Pauses)
 	vars.Set("forwards_total", &m.Forwards)
 	vars.Set("replays_total", &m.Replays)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -44,8 +44,8 @@
 }
 
 // Feed implements configsync.Platform and configsync.SnapshotSource on top of a Source. Its target lists
-// are consistent snapshots: a list of some revision has the registrations of the source as of that
-// revision. The versions of its documents count the changes that it has seen, because the revisions of
+// are consistent snapshots: a list of some revision has the registrations and the evacuated zones of the
+// source as of that revision. The versions of its documents count the changes that it has seen, because the revisions of
 // the source are comparable only within an era. It is safe for concurrent use.
 type Feed struct {
 	source Source
@@ -159,7 +159,7 @@
 		f.mu.Unlock()
 		return platformapi.Document{}, false
 	}
-	correct := st.hasTargets(list.Targets)
+	correct := st.matches(list)
 	if !correct {
 		st.targetsRevision = st.coverage.Revision()
 		f.targetsVersion++
@@ -233,7 +233,7 @@
 		return err
 	}
 	next := newSnapshot(read, requested)
-	oldest, newest := next.coverage.Oldest(), next.coverage.Newest()
+	oldest, newest := next.pageRevisions()
 	next.apply(changes, requested)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -242,7 +242,7 @@
 	}
 	event := f.log.Info().Bool("stale", stale).Uint64("era", read.Era).Uint64("oldest_page", oldest).Uint64("newest_page", newest).
 		Uint64("read_at", next.coverage.Revision()).Uint64("at", f.state.coverage.Revision()).Dur("took", f.now().Sub(requested))
-	if !next.coverage.Complete() {
+	if !next.complete() {
 		event.Msg("full state discarded: the store returned no changes up to its newest page")
 		return status.New(status.RevisionTooOld, "", "changes end at revision %d, before page %d", next.coverage.Revision(), newest)
 	}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -100,7 +100,7 @@
 	}
 	p.findGatheredGroups()
 	for i := range t.Targets {
-		if target := &t.Targets[i]; !target.Leaving {
+		if target := &t.Targets[i]; t.Accepts(target) {
 			p.groups[target.Group] = append(p.groups[target.Group], target.ID)
 		}
 	}
@@ -184,7 +184,7 @@
 
 // catalogue returns the description of the plan for the engine.
 func (p *plan) catalogue() *engine.Catalogue {
-	c := &engine.Catalogue{}
+	c := &engine.Catalogue{ListRevision: p.targets.Revision, EvacuatedZones: p.targets.Evacuated}
 	for i := range p.sheet.Services {
 		svc := &p.sheet.Services[i]
 		if svc.Relay == nil {
@@ -200,7 +200,7 @@
 	}
 	slots := make(map[string]int, len(p.sheet.Groups))
 	for i := range p.targets.Targets {
-		if t := &p.targets.Targets[i]; !t.Leaving {
+		if t := &p.targets.Targets[i]; p.targets.Accepts(t) {
 			slots[t.Group] += t.Slots
 		}
 	}
@@ -214,7 +214,7 @@
 		if t.Cold {
 			cold = coldPeriod
 		}
-		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Started: t.Started, Zone: t.Zone, Slots: t.Slots, ColdFor: cold})
+		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Started: t.Started, Zone: t.Zone, Slots: t.Slots, ColdFor: cold, Evacuated: p.targets.IsEvacuated(t.Zone)})
 	}
 	return c
 }
@@ -244,7 +244,7 @@
 func (p *plan) chooseSubsets(self engine.Identity) {
 	members := make(map[string][]connshare.Target, len(p.groups))
 	for i := range p.targets.Targets {
-		if t := &p.targets.Targets[i]; !t.Leaving {
+		if t := &p.targets.Targets[i]; p.targets.Accepts(t) {
 			members[t.Group] = append(members[t.Group], connshare.Target{ID: t.ID, Local: t.Zone == self.Zone})
 		}
 	}
--- a/protocol/published/published.go
+++ b/protocol/published/published.go
@@ -1,5 +1,5 @@
 // Package published defines the data that a platform publishes under a single revision counter: the
-// sheet and the registrations of targets, as a state and as changes.
+// sheet, the registrations of targets and the evacuated zones, as a state and as changes.
 package published
 
 import (
@@ -18,10 +18,10 @@
 	Err error
 }
 
-// Page is a part of a read of all registrations. It shows the IDs above After, up to the first ID of the
-// next page, as of one revision.
+// Page is a part of a read of all registrations, or of all evacuated zones. It shows the keys (IDs or zones)
+// above After, up to the first key of the next page, as of one revision.
 type Page struct {
-	// After is the ID after which the page begins. It is empty for the first page.
+	// After is the key after which the page begins. It is empty for the first page.
 	After    string
 	Revision uint64
 }
@@ -39,6 +39,10 @@
 	// Pages lists the pages from which Targets was read, in the order of their IDs. Their revisions
 	// differ if the registrations changed during the read, or if the pages of a stale read differ in age.
 	Pages []Page
+	// Evacuated holds the zones whose targets must get no requests. EvacuatedPages lists the pages from which
+	// it was read, like Pages.
+	Evacuated      map[string]bool
+	EvacuatedPages []Page
 }
 
 // Changes holds the changes after a revision.
@@ -51,7 +55,9 @@
 	Sheet *Sheet
 	// Targets holds the changed registrations in the order of the changes.
 	Targets []TargetChange
-	// Changed is set if anything changed, including data other than the sheet and the targets.
+	// Evacuations holds the changes of evacuations in their order.
+	Evacuations []EvacuationChange
+	// Changed is set if anything changed, including data that the other fields do not hold.
 	Changed bool
 }
 
@@ -64,3 +70,12 @@
 	// describe a usable target.
 	Target *targetlist.Target
 }
+
+// EvacuationChange is the start, the repetition or the end of the evacuation of one zone.
+type EvacuationChange struct {
+	Zone string
+	// Revision is the platform's revision at the change.
+	Revision uint64
+	// Evacuated is false if the evacuation has ended.
+	Evacuated bool
+}
--- a/protocol/targetlist/targetlist.go
+++ b/protocol/targetlist/targetlist.go
@@ -1,10 +1,11 @@
-// Package targetlist defines the list of targets of relayed services and their groups. It changes
-// whenever a target starts or stops, which is far more often than the sheet changes.
+// Package targetlist defines the list of targets of relayed services, their groups and the evacuated zones. It
+// changes whenever a target starts or stops, which is far more often than the sheet changes.
 package targetlist
 
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"github.com/balsamstall/balsamstall/protocol/document"
@@ -17,8 +18,17 @@
 	// Revision increases with every change to the list within an era.
 	Revision uint64   `json:"revision"`
 	Targets  []Target `json:"targets"`
+	// Evacuated lists the zones whose targets must get no requests, sorted. Lists that earlier builds have read
+	// from the platform lack it.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
+// IsEvacuated reports whether the targets of a zone must get no requests.
+func (d *Document) IsEvacuated(zone string) bool { return slices.Contains(d.Evacuated, zone) }
+
+// Accepts reports whether a target of the list may get new requests.
+func (d *Document) Accepts(t *Target) bool { return !t.Leaving && !d.IsEvacuated(t.Zone) }
+
 // Target is one incarnation of a target.
 type Target struct {
 	// ID identifies the target. A restarted target may reuse the ID of its predecessor.
@@ -109,6 +119,10 @@
 	for i := range d.Targets {
 		d.Targets[i].Check(&c, fmt.Sprintf("targets[%d]", i), seen)
 	}
+	zones := make(map[string]bool, len(d.Evacuated))
+	for i, zone := range d.Evacuated {
+		c.Name(fmt.Sprintf("evacuated[%d]", i), zone, zones)
+	}
 	return c.Faults
 }
 
--- a/state/audit/audit.go
+++ b/state/audit/audit.go
@@ -30,6 +30,8 @@
 	Stopped          Kind = "stopped"
 	Quarantined      Kind = "quarantined"
 	Succession       Kind = "succession"
+	// Evacuation reports the start or the end of the evacuation of a zone.
+	Evacuation Kind = "evacuation"
 	// SettingsReloaded and SettingsRefused report a changed settings file.
 	SettingsReloaded Kind = "settings_reloaded"
 	SettingsRefused  Kind = "settings_refused"
@@ -37,7 +39,7 @@
 
 // Kinds returns all event kinds.
 func Kinds() []Kind {
-	return []Kind{DocumentAccepted, DocumentRefused, RevisionConflict, DrainStarted, Started, Stopped, Quarantined, Succession, SettingsReloaded, SettingsRefused}
+	return []Kind{DocumentAccepted, DocumentRefused, RevisionConflict, DrainStarted, Started, Stopped, Quarantined, Succession, Evacuation, SettingsReloaded, SettingsRefused}
 }
 
 // Event is one entry of the audit trail.
