Ask one place whether a target may get a request

Cause: leaving, hold-offs, evacuation, rate limits and unreachable zones were each asked in pick, in anyAvailable, in the baseline policy, in usable and in MaySend; a new rule had to be added to each.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -87,9 +87,11 @@
 	isolated   *isolatedRuns
 	notices    *notices
 	rateLimits *targetrate.Limiter
-	failing    *failingSet
-	zones      *zoneSet
-	attachment *attachment
+	// restrictions asks notices, rateLimits and zones.
+	restrictions *restrictions
+	failing      *failingSet
+	zones        *zoneSet
+	attachment   *attachment
 	// evacuatedZones are those of the current catalogue. It is used only by SetCatalogue, whose caller serializes
 	// the calls.
 	evacuatedZones []string
@@ -130,25 +132,28 @@
 	targetEventLog := newTargetEventLog(cfg.Log)
 	rateLimits := targetrate.New(targetrate.Config{Entry: cfg.Self.Entry, Clock: cfg.Self.Clock, Log: targetEventLog,
 		Metrics: &cfg.Metrics.RateLimits, NotifyPeers: cfg.NotifyPeers, Tokens: cfg.Tokens})
-	var p policy = &baselinePolicy{self: cfg.Self, notices: notices, rateLimits: rateLimits}
+	restrictions := &restrictions{notices: notices, rateLimits: rateLimits}
+	var p policy = &baselinePolicy{self: cfg.Self, restrictions: restrictions}
 	var guard *crashGuard
 	if cfg.PolicyOn {
-		p = newLoadPolicy(cfg.Self, notices, rateLimits, failing, zones)
+		restrictions.zones = zones
+		p = newLoadPolicy(cfg.Self, restrictions, failing)
 		guard = newCrashGuard(cfg.Self, cfg.FingerprintKey)
 	}
 	e := &Engine{
-		self:       cfg.Self,
-		log:        cfg.Log,
-		targets:    cfg.Targets,
-		policy:     p,
-		guard:      guard,
-		isolated:   newIsolatedRuns(cfg.Self.Entry),
-		notices:    notices,
-		rateLimits: rateLimits,
-		failing:    failing,
-		zones:      zones,
-		attachment: newAttachment(),
-		metrics:    cfg.Metrics,
+		self:         cfg.Self,
+		log:          cfg.Log,
+		targets:      cfg.Targets,
+		policy:       p,
+		guard:        guard,
+		isolated:     newIsolatedRuns(cfg.Self.Entry),
+		notices:      notices,
+		rateLimits:   rateLimits,
+		restrictions: restrictions,
+		failing:      failing,
+		zones:        zones,
+		attachment:   newAttachment(),
+		metrics:      cfg.Metrics,
 
 		reachedTargets: cfg.ReachedTargets,
 		onDetached:     cfg.OnDetached,
--- a/internal/engine/evacuation.go
+++ b/internal/engine/evacuation.go
@@ -36,13 +36,6 @@
 	n.zones, n.evacuated = zones, evacuated
 }
 
-// isEvacuated reports whether a target belongs to an evacuated zone.
-func (n *notices) isEvacuated(target string) bool {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return n.evacuated[target] != ""
-}
-
 // setEvacuated marks the targets of evacuated zones. A target whose evacuation ends counts as cold from now on:
 // it has served nothing meanwhile, and may have been restarted.
 func (l *loadPolicy) setEvacuated(targets []CatalogueTarget) {
--- a/internal/engine/groups.go
+++ b/internal/engine/groups.go
@@ -74,17 +74,15 @@
 		if record == nil {
 			continue
 		}
-		until, blocked := l.notices.blockedUntil(id, now)
-		if !blocked {
-			state := record.Lock()
-			zone := state.zone
-			until = state.downUntil
-			record.Unlock()
-			left, limited := l.rateLimits.Availability(id, req.rateRanks.Of(shard))
-			if now >= until && !l.zones.unreachable(zone) && !limited {
-				return 0, true
-			}
-			until = max(until, now+left)
+		state := record.Lock()
+		zone, downUntil := state.zone, state.downUntil
+		record.Unlock()
+		until, reason, blocked := l.restrictions.check(id, zone, req.rateRanks.Of(shard), now)
+		if !blocked && now >= downUntil {
+			return 0, true
+		}
+		if !reason.holdsForAnyRank() {
+			until = max(until, downUntil)
 		}
 		if left := until - now; left > 0 && (wait == 0 || left < wait) {
 			wait = left
--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -43,23 +43,23 @@
 	n.count.Store(int64(n.leaving.Len() + n.holdOffs.Len() + len(n.evacuated)))
 }
 
-// blockedUntil reports whether a target currently gets no new work, and until when, zero if unknown.
-func (n *notices) blockedUntil(target string, now time.Duration) (until time.Duration, blocked bool) {
+// blockedUntil reports whether a target currently gets no new work, and why, and until when, zero if unknown.
+func (n *notices) blockedUntil(target string, now time.Duration) (until time.Duration, reason restrictionReason, blocked bool) {
 	if n.count.Load() == 0 {
-		return 0, false
+		return 0, "", false
 	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if n.evacuated[target] != "" || n.leaving.Has(target, now) {
-		return 0, true
+	if n.evacuated[target] != "" {
+		return 0, restrictedEvacuated, true
 	}
-	until = n.holdOffs.Until(target, now)
-	return until, until > 0
-}
-
-func (n *notices) blocked(target string, now time.Duration) bool {
-	_, blocked := n.blockedUntil(target, now)
-	return blocked
+	if n.leaving.Has(target, now) {
+		return 0, restrictedLeaving, true
+	}
+	if until = n.holdOffs.Until(target, now); until > 0 {
+		return until, restrictedHoldOff, true
+	}
+	return 0, "", false
 }
 
 // isLeaving reports whether a target is leaving.
@@ -98,9 +98,6 @@
 	return zones
 }
 
-// usable reports whether a target may get new work.
-func (e *Engine) usable(target string) bool { return !e.notices.blocked(target, e.self.Clock()) }
-
 // MarkLeaving records evidence that a target is leaving, valid for the given period.
 func (e *Engine) MarkLeaving(target string, period time.Duration) {
 	e.markLeaving(notice.Target{ID: target}, period)
@@ -162,22 +159,6 @@
 		Int64("hold_off_ms", (until - now).Milliseconds()).Msg("target asked for a hold-off; it gets no new work until it ends")
 }
 
-// MaySend returns an error with the outcome NotRun if the target must get no new work, or if its rate
-// limit allows no more. It is called when an attempt has obtained its connection, because the target
-// may have stopped accepting work, or announced a limit, while the attempt waited.
-func (e *Engine) MaySend(target string) error {
-	if e.notices.blocked(target, e.self.Clock()) {
-		if e.notices.isEvacuated(target) {
-			e.metrics.EvacuationMoved.Add(1)
-		}
-		return status.New(status.NoReplica, status.NotRun, "target %s gets no new work", target)
-	}
-	if !e.rateLimits.Admit(target) {
-		return status.New(status.NoReplica, status.NotRun, "target %s announced a rate limit since it was chosen", target)
-	}
-	return nil
-}
-
 // LeavingTargets returns the targets that get no new work because they are leaving.
 func (e *Engine) LeavingTargets() []notice.Report {
 	e.notices.mu.RLock()
--- a/internal/engine/loadpolicy.go
+++ b/internal/engine/loadpolicy.go
@@ -13,7 +13,6 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
-	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
@@ -35,16 +34,14 @@
 
 // loadPolicy is the policy with all load policies on.
 type loadPolicy struct {
-	self       Identity
-	notices    *notices
-	rateLimits *targetrate.Limiter
-	failing    *failingSet
-	zones      *zoneSet
-	settings   *replica.Settings
-	ramp       rampup.Settings
-	targets    targets.Table[targetState]
-	services   atomic.Pointer[map[string]*serviceState]
-	groups     atomic.Pointer[map[string]*groupState]
+	self         Identity
+	restrictions *restrictions
+	failing      *failingSet
+	settings     *replica.Settings
+	ramp         rampup.Settings
+	targets      targets.Table[targetState]
+	services     atomic.Pointer[map[string]*serviceState]
+	groups       atomic.Pointer[map[string]*groupState]
 
 	admitMu sync.Mutex
 	// admission is guarded by admitMu.
@@ -82,16 +79,14 @@
 	admission *admission.Service
 }
 
-func newLoadPolicy(self Identity, notices *notices, rateLimits *targetrate.Limiter, failing *failingSet, zones *zoneSet) *loadPolicy {
+func newLoadPolicy(self Identity, restrictions *restrictions, failing *failingSet) *loadPolicy {
 	return &loadPolicy{
-		self:       self,
-		notices:    notices,
-		rateLimits: rateLimits,
-		failing:    failing,
-		zones:      zones,
-		settings:   replica.DefaultSettings(),
-		ramp:       rampup.DefaultSettings(),
-		admission:  admission.New(admissionSettings()),
+		self:         self,
+		restrictions: restrictions,
+		failing:      failing,
+		settings:     replica.DefaultSettings(),
+		ramp:         rampup.DefaultSettings(),
+		admission:    admission.New(admissionSettings()),
 	}
 }
 
@@ -192,14 +187,14 @@
 	for i := 0; i < len(ids) && len(candidates) < maxReplicas; i++ {
 		id := ids[(first+i)%len(ids)]
 		record := l.targets.Get(id)
-		if record == nil || slices.Contains(exclude, id) || l.notices.blocked(id, now) || !l.rateLimits.MayTake(id, req.rateRanks.Of(shard)) {
+		if record == nil || slices.Contains(exclude, id) {
 			continue
 		}
 		state := record.Lock()
 		zone := state.zone
 		candidate := replica.Candidate{Target: len(candidates), Local: state.local, Weight: l.ramp.Weight(now, state.coldSince)}
 		record.Unlock()
-		if !l.zones.unreachable(zone) {
+		if _, _, blocked := l.restrictions.check(id, zone, req.rateRanks.Of(shard), now); !blocked {
 			records[candidate.Target], names[candidate.Target] = record, id
 			candidates = append(candidates, candidate)
 		}
@@ -281,37 +276,6 @@
 	}
 }
 
-func (l *loadPolicy) zoneOf(target string) (string, bool) {
-	record := l.targets.Get(target)
-	if record == nil {
-		return "", false
-	}
-	defer record.Unlock()
-	return record.Lock().zone, true
-}
-
-func (l *loadPolicy) targetsOf(zone string) []string {
-	var ids []string
-	l.targets.ForEach(func(id string, record *targetRecord) {
-		state := record.Lock()
-		defer record.Unlock()
-		if state.zone == zone {
-			ids = append(ids, id)
-		}
-	})
-	return ids
-}
-
-func (l *loadPolicy) resetStats(ids []string) {
-	now := l.now()
-	for _, id := range ids {
-		if record := l.targets.Get(id); record != nil {
-			record.Lock().stats.Reset(now)
-			record.Unlock()
-		}
-	}
-}
-
 func (l *loadPolicy) repliedWithin(target string, period time.Duration) bool {
 	record := l.targets.Get(target)
 	if record == nil {
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -9,7 +9,6 @@
 	"github.com/balsamstall/balsamstall/coordination/admission"
 	"github.com/balsamstall/balsamstall/coordination/hedge"
 	"github.com/balsamstall/balsamstall/coordination/replica"
-	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
@@ -99,9 +98,8 @@
 // baselinePolicy is the policy with all load policies off: random replicas, no hedging, no
 // admission control, unlimited retries.
 type baselinePolicy struct {
-	self       Identity
-	notices    *notices
-	rateLimits *targetrate.Limiter
+	self         Identity
+	restrictions *restrictions
 }
 
 func (*baselinePolicy) admit(context.Context, *Request) (func(admission.Result), error) {
@@ -112,7 +110,7 @@
 	now := b.self.Clock()
 	allowed := make([]string, 0, len(targets))
 	for _, t := range targets {
-		if !slices.Contains(exclude, t) && !b.notices.blocked(t, now) && b.rateLimits.MayTake(t, req.rateRanks.Of(shard)) {
+		if _, _, blocked := b.restrictions.check(t, "", req.rateRanks.Of(shard), now); !blocked && !slices.Contains(exclude, t) {
 			allowed = append(allowed, t)
 		}
 	}
--- a/internal/engine/zones.go
+++ b/internal/engine/zones.go
@@ -125,3 +125,34 @@
 	e.policy.resetStats(e.policy.targetsOf(zone))
 	e.log.Info().Str("zone", zone).Msg("zone is reachable again")
 }
+
+func (l *loadPolicy) zoneOf(target string) (string, bool) {
+	record := l.targets.Get(target)
+	if record == nil {
+		return "", false
+	}
+	defer record.Unlock()
+	return record.Lock().zone, true
+}
+
+func (l *loadPolicy) targetsOf(zone string) []string {
+	var ids []string
+	l.targets.ForEach(func(id string, record *targetRecord) {
+		state := record.Lock()
+		defer record.Unlock()
+		if state.zone == zone {
+			ids = append(ids, id)
+		}
+	})
+	return ids
+}
+
+func (l *loadPolicy) resetStats(ids []string) {
+	now := l.now()
+	for _, id := range ids {
+		if record := l.targets.Get(id); record != nil {
+			record.Lock().stats.Reset(now)
+			record.Unlock()
+		}
+	}
+}
