--- a/internal/configsync/model_test.go
+++ b/internal/configsync/model_test.go
@@ -185,8 +185,8 @@
 	for _, e := range m.entries {
 		list := e.list()
 		if list != nil && m.fails == "" && !m.store.matches(list, list.Era, list.Revision) {
-			m.fails = fmt.Sprintf("%s: %s has a list of era %d and revision %d with %v instead of %v", step, e.id, list.Era, list.Revision,
-				list.Targets, m.store.targetsAt(list.Era, list.Revision))
+			m.fails = fmt.Sprintf("%s: %s has a list of era %d and revision %d with %v and zones %v instead of %v and %v", step, e.id, list.Era, list.Revision,
+				list.Targets, list.Evacuated, m.store.targetsAt(list.Era, list.Revision), m.store.evacuatedAt(list.Era, list.Revision))
 		}
 	}
 }
@@ -231,7 +231,7 @@
 func runModel(seed uint64, earlier func(entry int) bool, checkLists bool) string {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	start := time.Unix(1_700_000_000, 0)
-	m := &model{rng: rng, store: &modelStore{rng: rng, now: start, pageSize: 1 + rng.IntN(4), eras: []modelEra{{began: start}}}}
+	m := &model{rng: rng, store: &modelStore{rng: rng, zoneRng: rand.New(rand.NewPCG(seed, 1)), now: start, pageSize: 1 + rng.IntN(4), eras: []modelEra{{began: start}}}}
 	for range 4 {
 		m.store.change()
 	}
--- a/internal/configsync/modelstore_test.go
+++ b/internal/configsync/modelstore_test.go
@@ -18,12 +18,16 @@
 	modelMaxAge = 6 * time.Second
 	// modelIDs is the number of targets that come and go.
 	modelIDs = 8
+	// modelZones is the number of zones that are evacuated now and then.
+	modelZones = 3
 )
 
 // modelStore is a store with its true history. Every call fails or is stale as the schedule draws it.
 type modelStore struct {
 	rng *rand.Rand
-	now time.Time
+	// zoneRng draws all that concerns evacuations, so that the kept seeds keep their other changes.
+	zoneRng *rand.Rand
+	now     time.Time
 	// eras holds the changes of each era since the first one; the change at index i has revision i+1.
 	eras []modelEra
 	// oldest is the first revision of the current era after which a watch may start.
@@ -42,23 +46,30 @@
 
 type modelChange struct {
 	published.TargetChange
-	at time.Time
+	// evacuation is a change without an ID. Its zone is empty if it is of other data.
+	evacuation published.EvacuationChange
+	at         time.Time
 }
 
-func (s *modelStore) era() uint64        { return uint64(len(s.eras)) }
-func (s *modelStore) current() *modelEra { return &s.eras[len(s.eras)-1] }
-func (s *modelStore) revision() uint64   { return uint64(len(s.current().changes)) }
-func (s *modelStore) chance(percent int) bool {
-	return !s.stable && s.rng.IntN(100) < percent
+func (s *modelStore) era() uint64             { return uint64(len(s.eras)) }
+func (s *modelStore) current() *modelEra      { return &s.eras[len(s.eras)-1] }
+func (s *modelStore) revision() uint64        { return uint64(len(s.current().changes)) }
+func (s *modelStore) chance(percent int) bool { return s.chanceOf(s.rng, percent) }
+func (s *modelStore) chanceOf(rng *rand.Rand, percent int) bool {
+	return !s.stable && rng.IntN(100) < percent
 }
 
-// change lets a target start, report a new state or leave, or changes other data of the store.
+// change lets a target start, report a new state or leave, lets an evacuation begin, be repeated or end, or
+// changes other data of the store.
 func (s *modelStore) change() {
 	id := fmt.Sprintf("i-%d", s.rng.IntN(modelIDs))
-	c := modelChange{published.TargetChange{ID: id, Revision: s.revision() + 1}, s.now}
+	c := modelChange{TargetChange: published.TargetChange{ID: id, Revision: s.revision() + 1}, at: s.now}
 	switch s.rng.IntN(5) {
 	case 0:
 		c.ID = "" // Data that is not a registration.
+		if s.zoneRng.IntN(3) > 0 {
+			c.evacuation = published.EvacuationChange{Zone: fmt.Sprintf("z%d", s.zoneRng.IntN(modelZones)), Revision: c.Revision, Evacuated: s.zoneRng.IntN(2) == 0}
+		}
 	case 1: // Removed.
 	default:
 		c.Target = &targetlist.Target{ID: id, Group: "g", Address: "10.0.0.1:80", Zone: "z", Slots: 1 + s.rng.IntN(2), Leaving: s.rng.IntN(2) == 0}
@@ -87,12 +98,25 @@
 	return targets
 }
 
+// evacuatedAt returns the evacuated zones of an era as of a revision.
+func (s *modelStore) evacuatedAt(era, revision uint64) map[string]bool {
+	zones := make(map[string]bool)
+	for _, c := range s.eras[era-1].changes[:revision] {
+		if c.evacuation.Evacuated {
+			zones[c.evacuation.Zone] = true
+		} else {
+			delete(zones, c.evacuation.Zone)
+		}
+	}
+	return zones
+}
+
 // asOf returns the era and the revision that a read shows.
-func (s *modelStore) asOf(stale bool) (era, revision uint64) {
-	if !stale || !s.chance(60) {
+func (s *modelStore) asOf(rng *rand.Rand, stale bool) (era, revision uint64) {
+	if !stale || !s.chanceOf(rng, 60) {
 		return s.era(), s.revision()
 	}
-	t := s.now.Add(-time.Duration(s.rng.Int64N(int64(modelMaxAge))))
+	t := s.now.Add(-time.Duration(rng.Int64N(int64(modelMaxAge))))
 	era = s.era()
 	for era > 1 && s.eras[era-1].began.After(t) {
 		era--
@@ -120,8 +144,13 @@
 	if s.cut || s.chance(5) {
 		return published.State{}, errModelStore
 	}
-	era, at := s.asOf(stale)
-	st := published.State{Era: era, ResumeRevision: at, Sheet: published.Sheet{Revision: at}, Targets: make(map[string]targetlist.Target)}
+	era, at := s.asOf(s.rng, stale)
+	zonesEra, zonesAt := s.asOf(s.zoneRng, stale)
+	if zonesEra != era {
+		return published.State{Era: max(era, zonesEra)}, status.New(status.RevisionTooOld, "", "restored between two pages")
+	}
+	st := published.State{Era: era, ResumeRevision: min(at, zonesAt), Sheet: published.Sheet{Revision: at}, Targets: make(map[string]targetlist.Target),
+		Evacuated: s.evacuatedAt(era, zonesAt), EvacuatedPages: []published.Page{{Revision: zonesAt}}}
 	for after, more := "", true; more; {
 		if s.chance(5) {
 			return published.State{Era: era}, errModelStore
@@ -129,7 +158,7 @@
 		if s.chance(20) {
 			s.change()
 		}
-		pageEra, pageAt := s.asOf(stale)
+		pageEra, pageAt := s.asOf(s.rng, stale)
 		if pageEra != era {
 			return published.State{Era: max(era, pageEra)}, status.New(status.RevisionTooOld, "", "restored between two pages")
 		}
@@ -169,11 +198,14 @@
 		if c.ID != "" {
 			changes.Targets = append(changes.Targets, c.TargetChange)
 		}
+		if c.evacuation.Zone != "" {
+			changes.Evacuations = append(changes.Evacuations, c.evacuation)
+		}
 	}
 	return changes, nil
 }
 
-// matches reports whether a list has the registrations of the store as of a revision.
+// matches reports whether a list has the registrations and the evacuations of the store as of a revision.
 func (s *modelStore) matches(list *targetlist.Document, era, revision uint64) bool {
 	want := s.targetsAt(era, revision)
 	for _, t := range list.Targets {
@@ -181,5 +213,5 @@
 			return false
 		}
 	}
-	return len(list.Targets) == len(want)
+	return len(list.Targets) == len(want) && slices.Equal(list.Evacuated, slices.Sorted(maps.Keys(s.evacuatedAt(era, revision))))
 }
