Count only usable targets as evidence that an entry is attached

Cause: an entry that reaches only targets of an evacuated zone counted as attached and refused requests that its peers could have run. Change: targets of evacuated zones are left out of the targets by which an entry judges whether it is detached.

--- a/internal/engine/detached.go
+++ b/internal/engine/detached.go
@@ -80,11 +80,14 @@
 	}
 }
 
-// setTargets replaces the known targets.
+// setTargets replaces the known targets. Those of evacuated zones are left out: an entry that reaches only them
+// can serve nothing.
 func (a *attachment) setTargets(targets []CatalogueTarget) {
 	known := make(map[string]bool, len(targets))
 	for i := range targets {
-		known[targets[i].ID] = true
+		if !targets[i].Evacuated {
+			known[targets[i].ID] = true
+		}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
