--- a/coordination/restore/restore_test.go
+++ b/coordination/restore/restore_test.go
@@ -154,3 +154,16 @@
 	fmt.Println(restored.Kept, restored.Departed[0].Target == notice.Target{ID: "old", Started: 1})
 	// Output: 1 true
 }
+
+// Guards against a restore that makes an entry forget the evacuations of the new era, or keep those of the era
+// before, while it keeps missing targets.
+func TestEvacuationsAreThoseOfTheNewEra(t *testing.T) {
+	is := is.New(t)
+	r := New(DefaultSettings())
+	before, restored := listAt(1, 8, target("a", 1), target("b", 2)), listAt(2, 5, target("a", 1))
+	before.Evacuated, restored.Evacuated = []string{"y"}, []string{"z"}
+	is.Equal(r.Apply(0, before).Targets.Evacuated, []string{"y"})
+	result := r.Apply(time.Second, restored)
+	is.Equal(result.Kept, 1)
+	is.Equal(result.Targets.Evacuated, []string{"z"})
+}
