Choose targets by the load that they report in replies

Cause: targets of some services state their requests running and waiting, their slots and the pace of their machine, which changes several times per second, in each reply. The latency samples follow it with a delay of 2 s. Change: protocol/loadreport parses the field; platform/backend puts it into relayapi.Reply.Load; Engine.RecordLoad hands it to coordination/replica. The time that a request takes by the last report, relative to the mean of the reports of the last 2 s, multiplies the target's cost, between 0.25 and 8, with a weight that falls to zero within 250 ms. Relative to the mean, because the latency samples contain the usual load already: a target that always reports the same, true or not, is scored as one without reports. Invalid reports are counted and ignored. No probes are sent.

--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -52,6 +52,12 @@
 	// MaxStatusPenalty bounds the factor by which a reported status raises the
 	// cost, because the status may be wrong. The default is 8.
 	MaxStatusPenalty float64
+	// LoadExpiry is the age at which the weight of a load report has fallen to zero. The default is
+	// 250 ms, because the load changes several times per second.
+	LoadExpiry time.Duration
+	// MinLoadFactor and MaxLoadFactor bound the factor on the cost that follows from a load report,
+	// which may be wrong. The defaults are 0.25 and 8.
+	MinLoadFactor, MaxLoadFactor float64
 }
 
 // DefaultSettings returns the default settings.
@@ -69,6 +75,9 @@
 		MaxUnansweredEjection: time.Second,
 		StatusExpiry:          5 * time.Second,
 		MaxStatusPenalty:      8,
+		LoadExpiry:            250 * time.Millisecond,
+		MinLoadFactor:         0.25,
+		MaxLoadFactor:         8,
 	}
 }
 
--- a/coordination/replica/stats.go
+++ b/coordination/replica/stats.go
@@ -34,6 +34,8 @@
 
 	statusPenalty float64
 	statusAt      time.Duration
+
+	load reportedLoad
 }
 
 // acceptanceGain is the weight of the latest attempt in the moving average of the
@@ -162,6 +164,7 @@
 	if now < t.statusAt+t.settings.StatusExpiry {
 		cost *= t.statusPenalty
 	}
+	cost *= t.load.factor(now, t.settings)
 	return Score{Cost: cost, Ejected: t.ejected(now), Acceptance: t.Acceptance(now)}
 }
 
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -27,6 +27,8 @@
 	RateLimits targetrate.Metrics
 	// FailingTargets counts targets that were marked as failing because of a peer's report.
 	FailingTargets expvar.Int
+	// LoadReports counts the loads that targets reported in replies, "valid" or "invalid".
+	LoadReports expvar.Map
 	// Pauses counts pauses of the process.
 	Pauses expvar.Int
 	// Violations counts violated invariants by name. Any nonzero value indicates a bug.
--- a/internal/engine/policy.go
+++ b/internal/engine/policy.go
@@ -61,6 +61,8 @@
 	resetStats(targets []string)
 	// recordStatus records the status that a target reported.
 	recordStatus(target string, r *targetapi.Status)
+	// recordLoad records the load that a target reported in a reply.
+	recordLoad(target string, r replica.LoadReport)
 	// describeService and describeTarget fill in a row of the admin status.
 	describeService(name string, row *adminapi.Service)
 	describeTarget(id string, row *adminapi.Target)
@@ -141,6 +143,7 @@
 func (*baselinePolicy) targetsOf(string) []string                 { return nil }
 func (*baselinePolicy) resetStats([]string)                       {}
 func (*baselinePolicy) recordStatus(string, *targetapi.Status)    {}
+func (*baselinePolicy) recordLoad(string, replica.LoadReport)     {}
 func (*baselinePolicy) setCatalogue(*Catalogue)                   {}
 func (*baselinePolicy) describeService(string, *adminapi.Service) {}
 func (*baselinePolicy) describeTarget(string, *adminapi.Target)   {}
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -68,7 +68,7 @@
 }
 
 // applyNotices applies what a target's reply to a request sent at the given time states about new
-// requests: that the target is leaving, wants no requests for a time or limits their rate.
+// requests: that the target is leaving, wants no requests for a time or limits their rate, and its load.
 func (w *requestWork) applyNotices(target string, reply *relayapi.Reply, sent time.Duration) {
 	if reply.Misdirected || isSuccess(reply) && reply.Signature == "" {
 		return // Nothing proves that the target itself made the reply.
@@ -79,6 +79,9 @@
 	if reply.HoldOff {
 		w.relay.cfg.Engine.RecordHoldOff(target, w.req.ID, reply.RetryAfter)
 	}
+	if reply.LoadStated || reply.InvalidLoad != nil {
+		w.relay.cfg.Engine.RecordLoad(target, reply.Load, reply.InvalidLoad)
+	}
 	limits := w.relay.cfg.Engine.RateLimits()
 	if reply.InvalidRateLimit != nil {
 		limits.RecordInvalid(target, w.req.ID, reply.InvalidRateLimit)
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/balsamstall/balsamstall/protocol/loadreport"
 	"github.com/balsamstall/balsamstall/protocol/requestrate"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -55,6 +56,11 @@
 	RateLimit requestrate.Rate
 	// InvalidRateLimit is set if the target states a rate limit that is invalid.
 	InvalidRateLimit error
+	// Load is the load that the target reports, valid if LoadStated is set.
+	Load       loadreport.Report
+	LoadStated bool
+	// InvalidLoad is set if the target reports a load that is invalid.
+	InvalidLoad error
 }
 
 // Merged is an answer that combines the replies of several shards.
