Bound callers' connections, and end those that do not read

Cause: the relay accepts connections until the process has no descriptors left, and a response has no write deadline (docs/design/hard-load.md, section 3). Change: connlimit takes MaxConnections. Beyond it, a connection that has waited at least 1 s for its client, or a stalled body of the budget, gives way; otherwise the new one is closed at once. A write ends when no byte has been accepted for 10 s. DefaultConnections derives the bound from the limit of open files and from the memory, because a connection costs memory as well. TestConnectionBound fails without the bound, without the minimum wait, with connections in use counted as waiting, and without closing the one that waits. TestWriteEndsWithoutProgress fails without the deadline and without extending it.

--- a/transport/connlimit/connlimit.go
+++ b/transport/connlimit/connlimit.go
@@ -1,13 +1,20 @@
-// Package connlimit makes an HTTP server close connections that stay idle too long or take too long to
-// send a request header. Its limits may change while the server runs, unlike
-// http.Server.IdleTimeout and ReadHeaderTimeout, which are fixed when the server starts.
+// Package connlimit makes an HTTP server close connections that stay idle too long, take too long to
+// send a request header or do not read their responses, and bounds the number of connections. The limits
+// of times may change while the server runs, unlike http.Server.IdleTimeout and ReadHeaderTimeout, which
+// are fixed when the server starts.
 package connlimit
 
 import (
+	"container/list"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/balsamstall/balsamstall/state/bytebudget"
 )
 
 // Limits returns the current limits. Both functions are called for each request and must not
@@ -17,6 +24,40 @@
 	Idle func() time.Duration
 	// Header bounds the time from the first byte of a request to the end of its header.
 	Header func() time.Duration
+	// MaxConnections bounds the open connections. A connection beyond it is accepted if one that waits
+	// for its client can be closed in its place, and is closed at once otherwise. Zero means no bound.
+	MaxConnections int
+	// Budget holds the bodies that give way to new connections at the bound, and counts what is
+	// refused. It may be nil without a bound.
+	Budget *bytebudget.Budget
+}
+
+const (
+	// reservedFiles is the number of descriptors kept for files, targets, peers and the platform.
+	reservedFiles = 200
+	// callerFraction is the part of the other descriptors that callers' connections may use.
+	callerFraction = 2
+	// connectionBytes is the memory of a connection whose request is incomplete: goroutine stacks, the
+	// server's buffers and the parsed header. bodyread.BenchmarkHalfSentConnection shows 27 KB, which
+	// include 8 KB that the budget counts.
+	connectionBytes = 32 << 10
+	// memoryFraction is the part of the process's memory that connections may use: one in four.
+	memoryFraction = 4
+	// minStall is the age of an idle connection from which it is closed in place of a new one.
+	minStall = time.Second
+	// writeTimeout is the time without a byte accepted after which a connection is closed.
+	writeTimeout = 10 * time.Second
+)
+
+// DefaultConnections returns the bound on callers' connections that follows from the limit of open files
+// and the memory of the process.
+func DefaultConnections(memoryBytes int64) int {
+	bound := memoryBytes / memoryFraction / connectionBytes
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur < 1<<31 {
+		bound = min(bound, (int64(files.Cur)-reservedFiles)/callerFraction)
+	}
+	return int(max(bound, 1))
 }
 
 // NewListener returns a listener that enforces the limits on its connections. The server that
@@ -34,8 +75,10 @@
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
+		limited.setWaiting(true)
 		limited.setPhase(idle)
 	default: // The header has been read, or the connection was closed or hijacked.
+		limited.setWaiting(false)
 		limited.setPhase(active)
 	}
 }
@@ -43,15 +86,58 @@
 type listener struct {
 	net.Listener
 	limits Limits
+
+	mu sync.Mutex
+	// open is the number of open connections. Guarded by mu.
+	open int
+	// waiting holds the connections without a complete header, the one that has waited longest first.
+	// Guarded by mu.
+	waiting list.List
 }
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if !l.admit() {
+			l.limits.Budget.Count(bytebudget.ConnectionRefused)
+			_ = c.Close() // Nothing has been read from it.
+			continue
+		}
+		return &conn{Conn: c, listener: l, limits: l.limits}, nil
 	}
-	return &conn{Conn: c, limits: l.limits}, nil
+}
+
+// admit counts a new connection and reports whether it may stay. At the bound, it closes a connection
+// that has waited for its client for at least minStall.
+func (l *listener) admit() bool {
+	l.mu.Lock()
+	l.open++
+	if l.limits.MaxConnections <= 0 || l.open <= l.limits.MaxConnections {
+		l.mu.Unlock()
+		return true
+	}
+	var victim *conn
+	if e := l.waiting.Front(); e != nil && time.Since(e.Value.(*conn).waitStart) >= minStall {
+		victim = e.Value.(*conn)
+		victim.unlistLocked()
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		l.limits.Budget.Count(bytebudget.ConnectionEvicted)
+		_ = victim.Close() // Its caller may see the end of an idle connection at any time.
+		return true
+	}
+	if l.limits.Budget.EvictStalled() {
+		return true
+	}
+	l.mu.Lock()
+	l.open--
+	l.mu.Unlock()
+	return false
 }
 
 // phase is the stage of the request cycle that a connection is in.
@@ -69,7 +155,14 @@
 // conn is a connection whose phases are timed. It is safe for concurrent use.
 type conn struct {
 	net.Conn
-	limits Limits
+	listener *listener
+	limits   Limits
+
+	// waitElement is the place in listener.waiting, or nil, and waitStart the time when it was put there.
+	// closed is set once the connection does not count any more. Guarded by listener.mu.
+	waitElement *list.Element
+	waitStart   time.Time
+	closed      bool
 
 	mu sync.Mutex
 	// phase began at phaseStart. timer fires at its limit and is nil without one. Guarded by mu.
@@ -98,6 +191,65 @@
 	return n, err
 }
 
+// Write implements net.Conn. The connection counts as not read once no byte has been accepted for
+// writeTimeout.
+func (c *conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		start := time.Now()
+		_ = c.SetWriteDeadline(start.Add(writeTimeout)) // On failure, the write fails too.
+		n, err := c.Conn.Write(b[written:])
+		written += n
+		// An earlier end is an interruption by the server.
+		stalled := errors.Is(err, os.ErrDeadlineExceeded) && time.Since(start) >= writeTimeout
+		if !stalled || n == 0 {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.mu.Lock()
+	c.unlistLocked()
+	if !c.closed {
+		c.closed = true
+		c.listener.open--
+	}
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the response to a caller that may still be sending, so that the caller can read it.
+func (c *conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// setWaiting records whether the connection waits for its client.
+func (c *conn) setWaiting(waiting bool) {
+	if c.limits.MaxConnections <= 0 {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.unlistLocked()
+	if waiting && !c.closed {
+		c.waitStart = time.Now()
+		c.waitElement = c.listener.waiting.PushBack(c)
+	}
+}
+
+// unlistLocked removes the connection from those that wait. The caller holds listener.mu.
+func (c *conn) unlistLocked() {
+	if c.waitElement != nil {
+		c.listener.waiting.Remove(c.waitElement)
+		c.waitElement = nil
+	}
+}
+
 // setPhase begins a phase.
 func (c *conn) setPhase(p phase) {
 	c.mu.Lock()
