Read bodies and write responses within the budget of held bytes

Cause: platform/gateway and transport/callerhttp read whole bodies without a common bound. Change: transport/bodyread serves both. A body that gives way, or that finds no room, gets 503 with Retry-After and Connection: close before anything of it is sent on. A body has its base time (30 s, search API 5 s) and 1 s for each KiB received, in place of a fixed time. Without a stated deadline, the time of a request begins when its body has arrived. The search API loses its limit of 610 s from header to answer; a response ends by lack of progress. Result: go test -race ./transport/bodyread ./platform/pathtest ./test/inputs: passed. TestStalledBodyGivesWay fails without the interruption, and with 400 in place of 503 without the check for an eviction; TestSmallRequestsUseReserve without the reserve; TestSlowBodyIsServed with a fixed second. TestUnreadResponseGivesWay passes without the interruption of a write, because its client reads on; that rule and http.ErrAbortHandler are not covered by a test that was seen failing.

--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -22,7 +22,7 @@
 	// Header holds the end-to-end fields, except the fields that adapters set themselves.
 	Header http.Header
 	Body   []byte
-	// Arrival is the time when the header had been read.
+	// Arrival is the time when the header had been read or, if Wait is zero, the whole request.
 	Arrival time.Time
 	// Wait is how long the caller waits after Arrival, or zero if the caller did not specify it.
 	Wait time.Duration
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -18,8 +17,11 @@
 
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/document"
-	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
+	"github.com/balsamstall/balsamstall/transport/adminhttp"
+	"github.com/balsamstall/balsamstall/transport/bodyread"
+	"github.com/balsamstall/balsamstall/transport/connlimit"
 )
 
 // Limits of a caller's connection. They bound how long a slow or broken caller can hold the
@@ -27,13 +29,9 @@
 const (
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes = 16 << 10
-	// ReadTimeout bounds the time to receive a whole request.
+	// ReadTimeout bounds the time to receive a whole request, apart from the time that bodyread
+	// allows for the bytes received.
 	ReadTimeout = 5 * time.Second
-	// WriteTimeout bounds the time from the end of a request's header to the end of its reply.
-	// It exceeds the longest deadline, so that no reply is cut off.
-	WriteTimeout = sheet.MaxDeadlineMS*time.Millisecond + ReplyTimeout
-	// ReplyTimeout bounds the sending of a reply to a caller that reads slowly.
-	ReplyTimeout = 10 * time.Second
 	// IdleTimeout bounds the wait for the next request on a connection.
 	IdleTimeout = 60 * time.Second
 )
@@ -44,7 +42,8 @@
 	Key string
 	// Search is the decoded body.
 	Search callerapi.SearchRequest
-	// Arrival is the time at which the request's header had been read.
+	// Arrival is the time at which the request's header had been read or, without a stated deadline, the
+	// whole request.
 	Arrival time.Time
 }
 
@@ -76,23 +75,32 @@
 	MaxBodyBytes int64
 	// MaxConnections bounds the open connections. Further ones wait to be accepted.
 	MaxConnections int
+	// Budget counts the bytes held for callers. Nil selects one of the smallest size for this server
+	// alone.
+	Budget *bytebudget.Budget
 }
 
 // NewServer returns a kratos server on lis.
 func NewServer(lis net.Listener, h Handler, opt Options) *khttp.Server {
+	s := &server{handler: h, ingress: bodyread.NewIngress(opt.Budget), maxBodyBytes: opt.MaxBodyBytes}
+	lis = connlimit.NewListener(netutil.LimitListener(lis, opt.MaxConnections), connlimit.Limits{
+		Idle:   func() time.Duration { return IdleTimeout },
+		Header: func() time.Duration { return ReadTimeout },
+	})
 	srv := khttp.NewServer(
-		khttp.Listener(netutil.LimitListener(lis, opt.MaxConnections)),
-		khttp.Timeout(WriteTimeout),
-		khttp.NotFoundHandler(notFound(h)),
-		khttp.MethodNotAllowedHandler(methodNotAllowed(h)),
+		khttp.Listener(lis),
+		adminhttp.Endpoint(lis),
+		khttp.Timeout(0), // The deadline of a request begins when its body has arrived.
+		khttp.NotFoundHandler(http.HandlerFunc(s.notFound)),
+		khttp.MethodNotAllowedHandler(http.HandlerFunc(s.methodNotAllowed)),
 	)
 	srv.ReadHeaderTimeout = ReadTimeout
 	srv.ReadTimeout = ReadTimeout
-	srv.WriteTimeout = WriteTimeout
 	srv.IdleTimeout = IdleTimeout
+	srv.ConnState = connlimit.ConnState
 	srv.MaxHeaderBytes = MaxHeaderBytes
 	srv.Route("/").POST(callerapi.SearchPath, func(c khttp.Context) error {
-		serveSearch(c.Response(), c.Request(), h, opt.MaxBodyBytes)
+		s.serveSearch(c.Response(), c.Request())
 		return nil
 	})
 	return srv
@@ -101,29 +109,43 @@
 // maxEchoedPathRunes bounds the part of an unknown path that the error message repeats.
 const maxEchoedPathRunes = 80
 
-func notFound(h Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeReply(w, h.Refuse(status.New(status.NotFound, status.NotRun,
-			"unknown path %.*q; searches go to %s", maxEchoedPathRunes, r.URL.Path, callerapi.SearchPath)))
-	})
+// server serves the requests of one listener.
+type server struct {
+	handler      Handler
+	ingress      *bodyread.Ingress
+	maxBodyBytes int64
 }
 
-func methodNotAllowed(h Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		reply := h.Refuse(status.New(status.InvalidArgument, status.NotRun, "the method must be %s", http.MethodPost))
-		reply.HTTPStatus = http.StatusMethodNotAllowed
-		w.Header().Set("Allow", http.MethodPost)
-		writeReply(w, reply)
-	})
+func (s *server) notFound(w http.ResponseWriter, r *http.Request) {
+	s.writeReply(w, s.handler.Refuse(status.New(status.NotFound, status.NotRun,
+		"unknown path %.*q; searches go to %s", maxEchoedPathRunes, r.URL.Path, callerapi.SearchPath)))
 }
 
-func serveSearch(w http.ResponseWriter, r *http.Request, h Handler, maxBody int64) {
+func (s *server) methodNotAllowed(w http.ResponseWriter, _ *http.Request) {
+	reply := s.handler.Refuse(status.New(status.InvalidArgument, status.NotRun, "the method must be %s", http.MethodPost))
+	reply.HTTPStatus = http.StatusMethodNotAllowed
+	w.Header().Set("Allow", http.MethodPost)
+	s.writeReply(w, reply)
+}
+
+func (s *server) serveSearch(w http.ResponseWriter, r *http.Request) {
 	arrival := time.Now()
-	body, err := readBody(http.MaxBytesReader(w, r.Body, maxBody))
+	incoming := s.ingress.Body(w, r)
+	body, err := incoming.Read(s.maxBodyBytes, ReadTimeout)
 	if err != nil {
-		writeReply(w, h.Refuse(err))
+		incoming.Refuse()
+		reply := s.handler.Refuse(err)
+		reply.Close = true
+		s.writeReply(w, reply)
 		return
 	}
+	reply := search(r, s.handler, body, arrival)
+	incoming.Close()
+	s.writeReply(w, reply)
+}
+
+// search runs a request whose body has arrived, and whose header arrived at the given time.
+func search(r *http.Request, h Handler, body []byte, arrival time.Time) Reply {
 	// Parsing costs more than comparing a key, so the body of an unauthenticated request is not
 	// parsed.
 	key, err := authenticate(r, h)
@@ -133,15 +155,16 @@
 			unknown.Outcome = status.Unknown
 			err = &unknown
 		}
-		writeReply(w, h.Refuse(err))
-		return
+		return h.Refuse(err)
 	}
 	var search callerapi.SearchRequest
 	if err := decodeBody(body, &search); err != nil {
-		writeReply(w, h.Refuse(err))
-		return
+		return h.Refuse(err)
+	}
+	if search.DeadlineMS == 0 {
+		arrival = time.Now() // A slow caller that states no deadline is not refused for its slowness.
 	}
-	writeReply(w, h.Search(r.Context(), Call{Key: key, Search: search, Arrival: arrival}))
+	return h.Search(r.Context(), Call{Key: key, Search: search, Arrival: arrival})
 }
 
 // authenticate returns the bearer key of a request, or an error if no caller has it.
@@ -159,19 +182,6 @@
 	return bytes.Contains(bytes.ToLower(body), []byte("permit")) || bytes.IndexByte(body, '\\') >= 0
 }
 
-// readBody reads a body that http.MaxBytesReader limits.
-func readBody(body io.Reader) ([]byte, *status.Error) {
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, status.New(status.TooLarge, status.NotRun, "the body exceeds %d bytes", tooLarge.Limit)
-	case err != nil:
-		return nil, status.Wrap(err, status.InvalidArgument, status.NotRun, "the body did not arrive in full")
-	}
-	return data, nil
-}
-
 // decodeBody decodes a search request. Deep nesting, duplicate keys, unknown fields and trailing
 // data are errors.
 func decodeBody(data []byte, dst *callerapi.SearchRequest) *status.Error {
@@ -193,7 +203,7 @@
 	return nil
 }
 
-func writeReply(w http.ResponseWriter, reply Reply) {
+func (s *server) writeReply(w http.ResponseWriter, reply Reply) {
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
@@ -205,9 +215,6 @@
 		seconds := int64((reply.RetryAfter + time.Second - 1) / time.Second)
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	// If the writer does not support deadlines, WriteTimeout still bounds the write.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(ReplyTimeout))
 	w.WriteHeader(reply.HTTPStatus)
-	// A failed write means that the caller closed the connection.
-	_, _ = w.Write(reply.Body)
+	s.ingress.WriteResponse(w, reply.Body)
 }
