Count replies that are being read in the budget of held bytes

Cause: the budget of 16 MB for replies was beside that of requests. Change: targethttp reads replies through state/bytebudget; SetBudget shares that of the process. Replies of up to 16 KiB are never refused. TestLargeBodiesShareBudget uses the new types. It is as strict: it counts all bytes held in place of those above 16 KiB, and reads small replies of known and unknown length while the budget is exceeded. TestLargeBodiesShareBudget fails if all replies are granted, if small ones may be refused, and if bytes leak.

--- a/transport/targethttp/client.go
+++ b/transport/targethttp/client.go
@@ -24,6 +24,7 @@
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
 )
 
 // Limits of one attempt.
@@ -65,8 +66,8 @@
 	pools map[string]*pool
 
 	metrics Metrics
-	// readBudget bounds the memory of the bodies that are being read.
-	readBudget readBudget
+	// budget bounds the memory of the bodies that are being read.
+	budget *bytebudget.Budget
 	// lateReplies is the number of late replies that are being read.
 	lateReplies atomic.Int64
 }
@@ -88,9 +89,14 @@
 		dialer:  d,
 		pools:   make(map[string]*pool),
 		metrics: m,
+		budget:  bytebudget.New(bytebudget.MinBytes, nil),
 	}
 }
 
+// SetBudget makes the bodies of replies count toward a common budget. It must be called before the first
+// attempt.
+func (c *Client) SetBudget(b *bytebudget.Budget) { c.budget = b }
+
 // Configure sets the known targets and this entry's share of the connections to each. A share of
 // zero allows one connection, which is closed after use. Pools of other targets are closed.
 func (c *Client) Configure(targets []sheet.Target, share func(sheet.Target) int) {
@@ -323,7 +329,7 @@
 		return nil, status.New(status.TooLarge, status.Unknown, "reply of %d bytes is too large", resp.ContentLength)
 	}
 	x.conn.setReadLimit(limit)
-	return x.client.readBudget.read(resp.Body, resp.ContentLength)
+	return readReplyBody(x.client.budget, resp.Body, resp.ContentLength)
 }
 
 // ioError classifies the error of a read or write.
--- a/transport/targethttp/reading_test.go
+++ b/transport/targethttp/reading_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
 )
 
 // stallingBody is a body that sends size bytes and then waits for release.
@@ -31,11 +32,12 @@
 }
 
 // Guards against endless bodies from hundreds of targets that exhaust the memory of a small host,
-// against a budget that leaks, and against counting typical replies against it.
+// against a budget that leaks, and against refusing typical replies while it is exhausted.
 func TestLargeBodiesShareBudget(t *testing.T) {
 	is := is.New(t)
 	const readers, size = 200, 900 << 10
-	var budget readBudget
+	budget := bytebudget.New(bytebudget.MinBytes, nil)
+	held := func() int64 { return budget.Held()[bytebudget.Reply.String()] }
 	release := make(chan struct{})
 	var waiting, ended sync.WaitGroup
 	var refused atomic.Int64
@@ -43,22 +45,28 @@
 		waiting.Add(1)
 		body := &stallingBody{size: size, release: release, waiting: &waiting}
 		ended.Go(func() {
-			if _, err := budget.read(body, -1); status.CodeOf(err) == status.TooLarge {
+			if _, err := readReplyBody(budget, body, -1); status.CodeOf(err) == status.TooLarge {
 				refused.Add(1)
 				body.once.Do(waiting.Done)
 			}
 		})
 	}
 	waiting.Wait()
-	maxCounted := int64(maxReadBudgetBytes / (size - uncountedBodyBytes))
-	is.True(budget.used.Load() <= maxReadBudgetBytes)
-	is.True(refused.Load() >= readers-maxCounted-1)
-	_, err := budget.read(bytes.NewReader(make([]byte, uncountedBodyBytes)), uncountedBodyBytes)
+	maxHeld := int64(bytebudget.MinBytes / size)
+	is.True(held() <= bytebudget.MinBytes)
+	is.True(refused.Load() >= readers-maxHeld-1)
+	rest := budget.Hold(bytebudget.Running)
+	rest.Force(bytebudget.MinBytes)
+	const typical = bytebudget.SmallBytes
+	_, err := readReplyBody(budget, bytes.NewReader(make([]byte, typical)), typical)
 	is.NoErr(err) // A typical reply can still be read.
+	_, err = readReplyBody(budget, bytes.NewReader(make([]byte, typical)), -1)
+	is.NoErr(err)
+	rest.Close()
 	close(release)
 	ended.Wait()
-	is.Equal(budget.used.Load(), int64(0))
-	_, err = budget.read(bytes.NewReader(make([]byte, size)), size)
+	is.Equal(held(), int64(0))
+	_, err = readReplyBody(budget, bytes.NewReader(make([]byte, size)), size)
 	is.NoErr(err)
-	is.Equal(budget.used.Load(), int64(0))
+	is.Equal(held(), int64(0))
 }
