Share one budget of held bytes in each entry

Cause: the bounds on bodies, replies and connections were not connected to the memory of the process. Change: both daemons make one budget from held_bytes_mb (default a quarter of memory_mb, at least 16) for callers, targets and hosted requests; a request of another entry without room is refused before the offer as NotRun. The relay bounds its connections (max_caller_connections, default derived). The soft memory limit is 3/4 of memory_mb (0.7 before) unless GOMEMLIMIT is set; search entries state memory_mb for it, without it they run as before. Metrics held_bytes and gave_way_total, one log line a second. Result: go test -race ./internal/entry ./internal/architecture ./test/inputs ./platform/pathtest: passed.

--- a/cmd/balsam-entry/main.go
+++ b/cmd/balsam-entry/main.go
@@ -57,6 +57,7 @@
 	}
 	set := settings.NewEntry()
 	log := loadSettings(args, set, &set.LogLevel, os.Stderr)
+	limitMemory(set.MemoryMB)
 	daemon, err := entry.NewDaemon(set, log)
 	if err != nil {
 		exitWith(exitFailed, err)
--- a/cmd/balsam-entry/platform.go
+++ b/cmd/balsam-entry/platform.go
@@ -14,14 +14,11 @@
 	"github.com/balsamstall/balsamstall/platform/backend"
 	"github.com/balsamstall/balsamstall/platform/gateway"
 	"github.com/balsamstall/balsamstall/platform/store"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
+	"github.com/balsamstall/balsamstall/transport/bodyread"
 	"github.com/balsamstall/balsamstall/transport/targethttp"
 )
 
-// memoryLimitFraction is the fraction of the process's memory that is set as the soft memory limit
-// of the Go runtime, near which garbage is collected more often. The rest is for stacks and socket
-// buffers.
-const memoryLimitFraction = 0.7
-
 // gcPercent is the growth of the heap, in percent, that triggers a garbage collection. A value below
 // the default of 100 saves memory, which is costly on the hosts, and uses more processor time, which
 // is available.
@@ -31,17 +28,22 @@
 // settings file, whose seeds are reloaded after SIGHUP and when the file changes.
 func relayPlatform(path string, set *settings.Relay, log zerolog.Logger) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(set.MemoryMB<<20)))
+	limitMemory(set.MemoryMB)
 	client, err := store.New(set.PlatformAddress, log)
 	if err != nil {
 		return err
 	}
 	defer client.Close()
 	daemon, err := entry.NewRelayDaemon(set, log, entry.RelayDeps{
-		Documents:  feed.New(client, log),
-		NewTargets: func(m targethttp.Metrics) relay.TargetClient { return backend.New(m) },
-		NewServers: func(callers, ready net.Listener, r *relay.Relay) []transport.Server {
-			return []transport.Server{gateway.NewServer(callers, r), gateway.NewReadyServer(ready, r)}
+		Documents: feed.New(client, log),
+		NewTargets: func(m targethttp.Metrics, budget *bytebudget.Budget) relay.TargetClient {
+			client := backend.New(m)
+			client.SetBudget(budget)
+			return client
+		},
+		NewServers: func(callers, ready net.Listener, r *relay.Relay, budget *bytebudget.Budget, maxConnections int) []transport.Server {
+			bounds := gateway.Options{Ingress: bodyread.NewIngress(budget), MaxConnections: maxConnections}
+			return []transport.Server{gateway.NewBoundedServer(callers, r, bounds), gateway.NewReadyServer(ready, r)}
 		},
 	})
 	if err != nil {
--- a/internal/entry/daemon.go
+++ b/internal/entry/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
 	"github.com/balsamstall/balsamstall/transport/adminhttp"
 	"github.com/balsamstall/balsamstall/transport/callerhttp"
 	"github.com/balsamstall/balsamstall/transport/peerrpc"
@@ -42,6 +43,7 @@
 	syncer   *configsync.Syncer
 	audit    *audit.Trail
 	metrics  *Metrics
+	budget   *bytebudget.Budget
 	facts    *factExchange
 	app      *kratos.App
 	// drainOnce prevents a second stop signal from starting another drain.
@@ -60,7 +62,9 @@
 		syncDone: make(chan struct{}),
 	}
 	d.audit = audit.New(d.log)
+	d.budget = newBudget(set.HeldBytes(set.MemoryMB), d.metrics, d.log)
 	d.targets = targethttp.New(d.metrics)
+	d.targets.SetBudget(d.budget)
 	d.pool = peerrpc.NewPool([]byte(set.PeerKey), peerrpc.Options{})
 	platform, err := platformhttp.New(set.PlatformAddress, set.ID, platformhttp.Options{})
 	if err != nil {
@@ -98,6 +102,7 @@
 	caller := callerhttp.NewServer(listeners[0], d.engine, callerhttp.Options{
 		MaxBodyBytes:   d.settings.MaxBodyBytes,
 		MaxConnections: int(d.settings.MaxCallerConnections),
+		Budget:         d.budget,
 	})
 	admin := adminhttp.NewServer(listeners[1], d, d.settings.AdminKey)
 	peers := &peerServer{
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -43,6 +43,9 @@
 	// StoreEra is the era of the target list: the number of restores of the platform's store from a
 	// backup, counted by the store.
 	StoreEra expvar.Int
+	// HeldBytes returns the bytes held for callers, targets and other entries by kind, and GaveWay the
+	// refusals and evictions at the bounds by reason.
+	HeldBytes, GaveWay expvar.Func
 	// TargetsRevision is the current revision of the target list of relayed services.
 	TargetsRevision expvar.Int
 }
@@ -87,6 +90,8 @@
 	vars.Set("store_era", &m.StoreEra)
 	vars.Set("targets_revision", &m.TargetsRevision)
 	vars.Set("violations_total", &m.Violations)
+	vars.Set("held_bytes", m.HeldBytes)
+	vars.Set("gave_way_total", m.GaveWay)
 }
 
 // SilentConnection implements targethttp.Metrics.
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -27,7 +27,9 @@
 	"github.com/balsamstall/balsamstall/protocol/status"
 	"github.com/balsamstall/balsamstall/protocol/targetlist"
 	"github.com/balsamstall/balsamstall/state/audit"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
 	"github.com/balsamstall/balsamstall/transport/adminhttp"
+	"github.com/balsamstall/balsamstall/transport/connlimit"
 	"github.com/balsamstall/balsamstall/transport/peerrpc"
 	"github.com/balsamstall/balsamstall/transport/targethttp"
 )
@@ -77,9 +79,10 @@
 	// Documents provides the sheet and the target list.
 	Documents configsync.Platform
 	// NewTargets returns a client for the targets.
-	NewTargets func(targethttp.Metrics) relay.TargetClient
-	// NewServers returns the servers for callers and for readiness checks.
-	NewServers func(callers, ready net.Listener, r *relay.Relay) []transport.Server
+	NewTargets func(targethttp.Metrics, *bytebudget.Budget) relay.TargetClient
+	// NewServers returns the servers for callers and for readiness checks. The budget and the number
+	// of connections bound what callers hold.
+	NewServers func(callers, ready net.Listener, r *relay.Relay, budget *bytebudget.Budget, maxConnections int) []transport.Server
 }
 
 // RelayDaemon is an entry process that relays requests. It keeps no permits and no journal: a
@@ -89,6 +92,7 @@
 	self         Identity
 	log          zerolog.Logger
 	metrics      *Metrics
+	budget       *bytebudget.Budget
 	relayMetrics relay.Metrics
 	audit        *audit.Trail
 	core         *engine.Engine
@@ -112,10 +116,11 @@
 		log:      log.With().Str("entry", set.ID).Logger(),
 		metrics:  NewMetrics(),
 	}
+	d.budget = newBudget(set.HeldBytes(set.MemoryMB), d.metrics, d.log)
 	d.homeSettings = homeSettings(set)
 	d.audit = audit.New(d.log)
 	d.pool = peerrpc.NewPool([]byte(set.PeerKey), peerrpc.Options{})
-	targets := deps.NewTargets(d.metrics)
+	targets := deps.NewTargets(d.metrics, d.budget)
 	d.core = engine.New(engine.Config{
 		Self:                  d.self,
 		Log:                   d.log,
@@ -237,9 +242,13 @@
 	if err != nil {
 		return err
 	}
-	servers := deps.NewServers(listeners[0], listeners[1], d.relay)
+	maxConnections := int(d.settings.MaxCallerConnections)
+	if maxConnections == 0 {
+		maxConnections = connlimit.DefaultConnections(d.settings.MemoryMB << 20)
+	}
+	servers := deps.NewServers(listeners[0], listeners[1], d.relay, d.budget, maxConnections)
 	servers = append(servers, &peerServer{
-		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &relayPeerHandler{syncer: d.syncer, relay: d.relay, rateLimits: d.core.RateLimits()}, d.log),
+		server:   peerrpc.NewServer([]byte(d.settings.PeerKey), &relayPeerHandler{syncer: d.syncer, relay: d.relay, rateLimits: d.core.RateLimits(), budget: d.budget}, d.log),
 		listener: listeners[2],
 	})
 	if len(listeners) > 3 {
--- a/internal/entry/relaypeers.go
+++ b/internal/entry/relaypeers.go
@@ -9,6 +9,7 @@
 	"github.com/balsamstall/balsamstall/internal/targetrate"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/status"
+	"github.com/balsamstall/balsamstall/state/bytebudget"
 )
 
 // goAheadTimeout limits the wait for the receiver's go-ahead. A receiver that has not sent it by
@@ -22,6 +23,8 @@
 	relay  *relay.Relay
 	// rateLimits allocates the rate limits of targets.
 	rateLimits *targetrate.Limiter
+	// budget counts the requests that run for other entries.
+	budget *bytebudget.Budget
 }
 
 func (h *relayPeerHandler) Exchange(ctx context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
@@ -50,6 +53,12 @@
 	if first.Start == nil {
 		return status.New(status.InvalidArgument, status.NotRun, "the first message is not a start message")
 	}
+	held := h.budget.Hold(bytebudget.Hosted)
+	defer held.Close()
+	// The body counts twice, as received and as sent to a target.
+	if !held.Acquire(2 * int64(len(first.Start.Body))) {
+		return status.New(status.Overloaded, status.NotRun, "this entry holds too many bytes")
+	}
 	hosted, err := h.relay.Offer(first.Start)
 	if err != nil {
 		return err
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -10,6 +10,9 @@
 	PolicyOff = "off"
 )
 
+// defaultMemoryMB is the memory of a process whose settings do not state it.
+const defaultMemoryMB = 256
+
 // Entry holds the settings of balsam-entry.
 type Entry struct {
 	ID   string `json:"id"`
@@ -55,6 +58,10 @@
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 	// MaxCallerConnections is the maximum number of open caller connections. The default is 4,096.
 	MaxCallerConnections int64 `json:"max_caller_connections"`
+	// MemoryMB is the memory that the process may use, in mebibytes. Zero, the default, sets no limit on
+	// the runtime; the bytes held are then bounded as with 256.
+	MemoryMB int64 `json:"memory_mb"`
+	Held
 }
 
 // Peer is another entry that is known at start.
@@ -107,5 +114,9 @@
 	c.Range("drain_timeout_ms", e.DrainTimeoutMS, 0, 600_000)
 	c.Range("max_body_bytes", e.MaxBodyBytes, 1_024, 1<<20)
 	c.Range("max_caller_connections", e.MaxCallerConnections, 1, 100_000)
+	if e.MemoryMB != 0 {
+		c.Range("memory_mb", e.MemoryMB, 32, 1<<20)
+	}
+	e.check(&c, e.MemoryMB)
 	return c.Faults
 }
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -32,6 +32,7 @@
 	RequestLinesPerSecond int64 `json:"request_lines_per_second"`
 	// MemoryMB is the memory that the process may use, in mebibytes.
 	MemoryMB int64 `json:"memory_mb"`
+	Held
 	// GraceS is the time between the stop signal and the kill signal, in seconds.
 	GraceS float64 `json:"grace_s"`
 	// RepeatRatio, RepeatMinimum and RepeatWindowS limit the repeats that the fleet sends to each
@@ -56,6 +57,9 @@
 	// HomesFrom is the minimum number of entries in the fleet for homes to be used. The default is
 	// 24.
 	HomesFrom int64 `json:"homes_from"`
+	// MaxCallerConnections is the maximum number of open caller connections. Zero, the default,
+	// derives it from the limit of open files and MemoryMB.
+	MaxCallerConnections int64 `json:"max_caller_connections"`
 }
 
 // defaultRequestLinesPerSecond keeps the log small if every request fails.
@@ -66,7 +70,7 @@
 	return &Relay{
 		LogLevel:              "info",
 		RequestLinesPerSecond: defaultRequestLinesPerSecond,
-		MemoryMB:              256,
+		MemoryMB:              defaultMemoryMB,
 		GraceS:                6,
 		RepeatRatio:           0.2,
 		RepeatMinimum:         50,
@@ -99,6 +103,10 @@
 	c.OneOf("log_level", r.LogLevel, "debug", "info", "warn", "error")
 	c.Range("request_lines_per_second", r.RequestLinesPerSecond, 1, 100_000)
 	c.Range("memory_mb", r.MemoryMB, 32, 1<<20)
+	r.check(&c, r.MemoryMB)
+	if r.MaxCallerConnections != 0 {
+		c.Range("max_caller_connections", r.MaxCallerConnections, 1, 100_000)
+	}
 	c.Range("grace_s", int64(r.GraceS), 1, 600)
 	c.Ratio("repeat_ratio", r.RepeatRatio)
 	c.Range("repeat_minimum", int64(r.RepeatMinimum), 0, 1_000_000)
--- a/test/inputs/programs_test.go
+++ b/test/inputs/programs_test.go
@@ -125,6 +125,30 @@
 	}
 }
 
+// Guards against bounds on memory that leave no room for a single request, or none for the rest of the
+// program.
+func TestFaultyMemorySettings(t *testing.T) {
+	f := settingsFiles()[0]
+	for _, c := range []struct {
+		field string
+		value int
+		want  string
+	}{
+		{"held_bytes_mb", 15, "a number from 16 to 128"},
+		{"held_bytes_mb", 129, "a number from 16 to 128"},
+		{"memory_mb", 31, "a number from 32 to 1048576"},
+	} {
+		t.Run(fmt.Sprintf("%s=%d", c.field, c.value), func(t *testing.T) {
+			is := is.New(t)
+			path := writeFile(t, "settings.json", f.withField(c.field, c.value))
+			code, out := runProgram(t, nil, f.program, append(f.args, path)...)
+			logTableRow(t, path, f.program+" "+strings.Join(f.args, " "), fmt.Sprintf("%s %d", c.field, c.value), fmt.Sprintf("%d: %s", code, out))
+			is.Equal(code, 2)
+			checkWords(t, out, []string{c.field, fmt.Sprint(c.value), c.want})
+		})
+	}
+}
+
 // checkWords checks that out contains all words. If there are four, one of the last two suffices,
 // because fields have types with different names.
 func checkWords(t *testing.T, out string, want []string) {
