Serialize the record of evacuated zones

A concurrent call could also have removed a target between two steps. Change: the zones are kept in notices under its lock, which returns those before; setEvacuated skips targets that are gone.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -92,10 +92,7 @@
 	failing      *failingSet
 	zones        *zoneSet
 	attachment   *attachment
-	// evacuatedZones are those of the current catalogue. It is used only by SetCatalogue, whose caller serializes
-	// the calls.
-	evacuatedZones []string
-	notifyPeers    func()
+	notifyPeers  func()
 	// reachedTargets and onDetached are those of Config.
 	reachedTargets func(ctx context.Context) []string
 	onDetached     func(detached bool)
@@ -167,14 +164,14 @@
 	return e
 }
 
-// SetCatalogue replaces the known services, targets and target groups. It must not be called concurrently.
+// SetCatalogue replaces the known services, targets and target groups.
 func (e *Engine) SetCatalogue(c *Catalogue) {
-	e.notices.setListed(c, e.self.Clock())
+	evacuatedBefore := e.notices.setListed(c, e.self.Clock())
 	e.rateLimits.SetTargets(startTimes(c.Targets), targetZones(c.Targets))
 	e.policy.setCatalogue(c)
 	e.isolated.setTargets(c.Targets)
 	e.attachment.setTargets(c.Targets)
-	e.recordEvacuations(c)
+	e.recordEvacuations(evacuatedBefore, c)
 }
 
 // afterPause drops connections and verifies cached state that may be stale after the process was
--- a/internal/engine/evacuation.go
+++ b/internal/engine/evacuation.go
@@ -42,6 +42,9 @@
 	now := l.now()
 	for i := range targets {
 		record := l.targets.Get(targets[i].ID)
+		if record == nil {
+			continue // A concurrent call has replaced the targets.
+		}
 		state := record.Lock()
 		if state.evacuated && !targets[i].Evacuated {
 			state.coldSince = now
@@ -51,11 +54,9 @@
 	}
 }
 
-// recordEvacuations logs, counts and audits the zones whose evacuation starts or ends with a catalogue. The
-// caller of SetCatalogue serializes the calls.
-func (e *Engine) recordEvacuations(c *Catalogue) {
-	before := e.evacuatedZones
-	e.evacuatedZones = slices.Clone(c.EvacuatedZones)
+// recordEvacuations logs, counts and audits the zones whose evacuation starts or ends with a catalogue. before
+// lists the zones that were evacuated by the one before.
+func (e *Engine) recordEvacuations(before []string, c *Catalogue) {
 	e.metrics.EvacuatedZones.Set(int64(len(c.EvacuatedZones)))
 	for _, zone := range c.EvacuatedZones {
 		if !slices.Contains(before, zone) {
--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -29,6 +29,8 @@
 	// evacuated maps the targets of evacuated zones to their zones, zones the targets of the catalogue. Guarded
 	// by mu.
 	evacuated, zones map[string]string
+	// evacuatedZones lists the evacuated zones. The slice is replaced, not changed. Guarded by mu.
+	evacuatedZones []string
 }
 
 func newNotices() *notices {
@@ -69,15 +71,18 @@
 	return n.leaving.Has(target, now)
 }
 
-// setListed replaces the targets of the catalogue.
-func (n *notices) setListed(c *Catalogue, now time.Duration) {
+// setListed replaces the targets and the evacuated zones of the catalogue. It returns the zones that were evacuated
+// before.
+func (n *notices) setListed(c *Catalogue, now time.Duration) (evacuatedBefore []string) {
 	started, zones := startTimes(c.Targets), targetZones(c.Targets)
 	n.update(func() {
+		evacuatedBefore, n.evacuatedZones = n.evacuatedZones, c.EvacuatedZones
 		n.started = started
 		n.setZones(zones, c.EvacuatedZones)
 		n.leaving.SetListed(started, now)
 		n.holdOffs.SetListed(started)
 	})
+	return evacuatedBefore
 }
 
 // startTimes returns the start times of the targets in Unix milliseconds.
