Keep a request at fault that fails at the same target again

Cause: a request that two targets had failed counted as a first error again when it reached the second of them once more, and marked that target. Found by a test of the counters of error replies.

--- a/coordination/failing/errorreplies.go
+++ b/coordination/failing/errorreplies.go
@@ -48,6 +48,8 @@
 	at      time.Duration
 	target  string
 	request Request
+	// requestAtFault is set when another target has answered the request with an error too.
+	requestAtFault bool
 }
 
 // NewErrorReplies returns an ErrorReplies without records.
@@ -62,10 +64,11 @@
 	reply := errorReply{at: now, target: target, request: r}
 	if r.identified() {
 		previous, known := e.byRequest[r]
+		reply.requestAtFault = known && now-previous.at < requestMemory && (previous.requestAtFault || previous.target != target)
 		if known || len(e.byRequest) < maxTargets {
 			e.byRequest[r] = reply
 		}
-		if known && now-previous.at < requestMemory && previous.target != target {
+		if reply.requestAtFault {
 			return Report{}, false
 		}
 	}
--- a/coordination/failing/errorreplies_test.go
+++ b/coordination/failing/errorreplies_test.go
@@ -57,7 +57,7 @@
 	const step = 10 * ms
 	for now := time.Duration(0); now < 8*time.Second; now += step {
 		if now%(200*ms) == 0 { // Its caller repeats it five times a second.
-			target := []string{"t1", "t2", "t3"}[now/(200*ms)%3]
+			target := []string{"t1", "t2", "t2", "t3", "t3", "t1"}[now/(200*ms)%6]
 			if r, ok := replies.RecordError(request(7), target, now); ok {
 				marks.Record(r, now)
 			}
