--- a/internal/engine/failing.go
+++ b/internal/engine/failing.go
@@ -134,7 +134,18 @@
 	report, push := failing.Report{Target: a.Target}, false
 	switch isError := targetFailed(err); {
 	case err == nil || isError:
-		if report, push = e.failing.recordReply(failing.Request{Fingerprint: req.Fingerprint, Shard: a.Shard}, a.Target, isError, now); !push {
+		report, push = e.failing.recordReply(failing.Request{Fingerprint: req.Fingerprint, Shard: a.Shard}, a.Target, isError, now)
+		switch {
+		case isError && !push:
+			e.metrics.ErrorReplies.Add("request", 1)
+		case isError && report.Age > 0:
+			e.metrics.ErrorReplies.Add("first", 1)
+		case isError:
+			e.metrics.ErrorReplies.Add("confirmed", 1)
+		case push:
+			e.metrics.ErrorReplies.Add("answered_elsewhere", 1)
+		}
+		if !push {
 			return
 		}
 	case !isBroken(err):
--- a/internal/engine/failing_test.go
+++ b/internal/engine/failing_test.go
@@ -26,6 +26,7 @@
 // testEntry is an engine with one shard of three targets, t0 to t2, without a network.
 type testEntry struct {
 	*engine.Engine
+	metrics engine.Metrics
 	// notified counts the immediate notifications of peers.
 	notified int
 }
@@ -34,7 +35,7 @@
 	e := &testEntry{}
 	e.Engine = engine.New(engine.Config{
 		Self: engine.Identity{Entry: "entry", Zone: "a", Incarnation: ids.NewIncarnation(), Start: time.Now().Add(-time.Hour)}, Log: zerolog.Nop(),
-		Targets: noConnections{}, FingerprintKey: []byte("key"), PolicyOn: true, Metrics: &engine.Metrics{}, NotifyPeers: func() { e.notified++ },
+		Targets: noConnections{}, FingerprintKey: []byte("key"), PolicyOn: true, Metrics: &e.metrics, NotifyPeers: func() { e.notified++ },
 	})
 	c := &engine.Catalogue{Entries: 1, Services: []engine.CatalogueService{{Name: "s", Shards: 1, Slots: 30, MaxConcurrency: 100, Priority: 1}},
 		Groups:  []engine.CatalogueGroup{{Name: "g", RepeatMinimumFraction: 1, Slots: 30}},
@@ -111,6 +112,14 @@
 		is.Equal(len(w.sent), 1)
 		is.Equal(e.FailingTargets(), []failing.Report{{Target: w.sent[0], Age: failing.TTL - failing.FirstErrorTTL}})
 		is.Equal(e.notified, 1)
+		// Two other targets answer the same request with an error: it is at fault.
+		for range 2 {
+			req, _ := e.request("once", func(context.Context, string) error { return errorReply(http.StatusInternalServerError) })
+			e.RunOnce(t.Context(), req)
+		}
+		is.Equal(e.metrics.ErrorReplies.Get("first").String(), "1")
+		is.Equal(e.metrics.ErrorReplies.Get("request").String(), "2")
+		is.Equal(e.metrics.ErrorReplies.Get("confirmed"), nil)
 	})
 }
 
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -27,6 +27,10 @@
 	RateLimits targetrate.Metrics
 	// FailingTargets counts targets that were marked as failing because of a peer's report.
 	FailingTargets expvar.Int
+	// ErrorReplies counts the replies with which targets stated a failure: "first" and "confirmed" marked
+	// the target as failing, "request" did not because the request is at fault. "answered_elsewhere"
+	// counts those of the first kind whose request another target answered.
+	ErrorReplies expvar.Map
 	// LoadReports counts the loads that targets reported in replies, "valid" or "invalid".
 	LoadReports expvar.Map
 	// Pauses counts pauses of the process.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -64,6 +64,7 @@
 	vars.Set("hedges_total", &m.Hedges)
 	vars.Set("crashes_total", &m.Crashes)
 	vars.Set("failing_targets_total", &m.FailingTargets)
+	vars.Set("error_replies_total", &m.ErrorReplies)
 	vars.Set("load_reports_total", &m.LoadReports)
 	vars.Set("leaving_targets_total", &m.LeavingTargets)
 	vars.Set("hold_offs_total", &m.HoldOffs)
