Translate the rate that cold targets tolerate into the sheet

Cause: the configuration states how many requests a second a server tolerates during its warmup; nothing reads it. The platform's name joins those that only platform/ may contain. Nothing uses the field yet.

--- a/internal/architecture/platform_test.go
+++ b/internal/architecture/platform_test.go
@@ -12,7 +12,7 @@
 var wireNames = []string{
 	"X-Deadline-Ms", "X-Expect-Instance", "X-Not-Executed", "X-Response-Stamp", "X-Part-Stamps",
 	"X-Missing-Parts", "X-Instance-Id", "X-Request-Id", "kv-key", "kv-range", "kv-watch", "op/config",
-	"path_prefix=", "weighted_backends", "latency_goal_ms", "min_shard_share", "warmup_left_ms",
+	"path_prefix=", "weighted_backends", "latency_goal_ms", "min_shard_share", "warmup_left_ms", "warmup_per_s",
 }
 
 // Guards against wire names of the users' platform outside its adapter, which is platform/.
--- a/protocol/sheet/relay.go
+++ b/protocol/sheet/relay.go
@@ -14,8 +14,14 @@
 	Name string `json:"name"`
 	// MaxConnections is the maximum number of connections from all entries to one target.
 	MaxConnections int `json:"max_connections"`
+	// ColdRate is the number of requests per second from all entries that a target tolerates while it
+	// is cold (see targetlist.Target). Zero means that it has no such limit.
+	ColdRate float64 `json:"cold_rate,omitempty"`
 }
 
+// MaxColdRate is the maximum of Group.ColdRate.
+const MaxColdRate = 1e6
+
 // CallerLimits bounds the requests that a caller of relayed services may send. Zero values select
 // the limits in the entry's settings.
 type CallerLimits struct {
@@ -66,6 +72,9 @@
 		path := fmt.Sprintf("groups[%d]", i)
 		c.Name(path+".name", g.Name, seen)
 		c.Range(path+".max_connections", int64(g.MaxConnections), 1, MaxConnections)
+		if !(g.ColdRate >= 0 && g.ColdRate <= MaxColdRate) {
+			c.Add(path+".cold_rate", strconv.FormatFloat(g.ColdRate, 'g', -1, 64), fmt.Sprintf("a number from 0 to %g", MaxColdRate))
+		}
 	}
 	return seen
 }
