Keep the requests to cold targets within the rate that they tolerate

Cause: a cold target of a group with a cold rate crashes above it; nothing limits the requests that all entries together send to it. Change: the limits of cold targets are one more source of limits in targetrate (SetColdLimits, called with the catalogue); the lower of the stated and the cold limit counts, and the cold one ends when the list states that the target is warm. Tokens come from two entries of the target's zone, as for stated limits. No message changes. Settings for overshoot and slack are not needed. Not run: internal/entry, real processes with cold targets, the soak after this change.

--- a/coordination/ratelimit/allocation.go
+++ b/coordination/ratelimit/allocation.go
@@ -22,6 +22,9 @@
 	Granted bool
 	// ValidAfter is the time until the token is valid.
 	ValidAfter time.Duration
+	// VoidAfter, if it is not zero, is the time after which the token is void, also for a request that
+	// has taken it and has not been sent.
+	VoidAfter time.Duration
 	// Wait is set without a token: the time after which a token may be free.
 	Wait time.Duration
 }
@@ -36,6 +39,8 @@
 	booked time.Duration
 	// asked and granted hold, by rank, the times of the last request and of the last grant.
 	asked, granted map[int]time.Duration
+	// even is set if no token is kept for later.
+	even bool
 }
 
 // NewAllocation returns an allocation without tokens: the target may have got requests just before.
@@ -43,6 +48,17 @@
 	return &Allocation{booked: now + tokenInterval(perSecond), asked: make(map[int]time.Duration), granted: make(map[int]time.Duration)}
 }
 
+// NewEvenAllocation returns an allocation like NewAllocation that keeps no token for later, so that the
+// number of tokens in a period exceeds the rate by at most one.
+func NewEvenAllocation(now time.Duration, perSecond float64) *Allocation {
+	a := NewAllocation(now, perSecond)
+	a.even = true
+	return a
+}
+
+// Even reports whether the allocation was created by NewEvenAllocation.
+func (a *Allocation) Even() bool { return a.even }
+
 // tokenInterval returns the time between tokens at a rate.
 func tokenInterval(perSecond float64) time.Duration {
 	if perSecond <= 0 {
@@ -56,7 +72,7 @@
 func (a *Allocation) Allocate(now time.Duration, perSecond float64, rank int, maxWait time.Duration) Grant {
 	interval := tokenInterval(perSecond)
 	reserve := interval
-	if perSecond <= 0 {
+	if perSecond <= 0 || a.even {
 		reserve = 0
 	}
 	// A limit that rose must not wait for tokens that were booked under the lower one.
--- a/coordination/ratelimit/announcements.go
+++ b/coordination/ratelimit/announcements.go
@@ -31,10 +31,10 @@
 	EndConfirmation = 10 * time.Second
 	// maxCandidates limits the announcements of one target that may be the newest.
 	maxCandidates = 8
-	// retention is the time after its last announcement for which a target that is not listed, or
+	// Retention is the time after its last announcement for which a target that is not listed, or
 	// whose limit has ended, is remembered. It is longer than it takes to restore a list that
 	// expired.
-	retention = 10 * time.Minute
+	Retention = 10 * time.Minute
 	// endedReportAge is the age up to which peers are told that a limit ended. Those who missed it
 	// learn it from a reply.
 	endedReportAge = 30 * time.Second
@@ -190,7 +190,7 @@
 	r, known := a.known[report.ID]
 	started, listed := a.listed[report.ID]
 	if listed && !notice.SameIncarnation(started, report.Started) || !known && !report.Limited ||
-		!(report.PerSecond >= 0) || report.PerSecond > maxPerSecond || report.Age < 0 || report.Age >= retention {
+		!(report.PerSecond >= 0) || report.PerSecond > maxPerSecond || report.Age < 0 || report.Age >= Retention {
 		return false
 	}
 	s := statement{limited: report.Limited, earliest: now - report.Age - MaxTransit, learned: now}
@@ -327,7 +327,7 @@
 // Expire removes old announcements of targets that are not listed or have no limit.
 func (a *Announcements) Expire(now time.Duration) {
 	for id, r := range a.known {
-		if _, listed := a.listed[id]; now-r.newest() >= retention && (!listed || !r.candidates[0].limited) {
+		if _, listed := a.listed[id]; now-r.newest() >= Retention && (!listed || !r.candidates[0].limited) {
 			a.remove(id)
 		}
 	}
--- a/coordination/ratelimit/tokens.go
+++ b/coordination/ratelimit/tokens.go
@@ -26,6 +26,8 @@
 	from, until time.Duration
 	// rank is the least urgent rank that may use the token.
 	rank int
+	// strict is set if a request that has taken the token must also be sent before until.
+	strict bool
 }
 
 type denialKey struct{ target, allocator string }
@@ -51,8 +53,11 @@
 		return
 	}
 	delete(t.denials, key)
-	from := now + g.ValidAfter
-	t.held[target] = append(t.held[target], token{from: from, until: from + tokenLifetime, rank: rank})
+	k := token{from: now + g.ValidAfter, until: now + g.ValidAfter + tokenLifetime, rank: rank}
+	if g.VoidAfter != 0 {
+		k.until, k.strict = now+g.VoidAfter, true
+	}
+	t.held[target] = append(t.held[target], k)
 }
 
 // find returns the index of a valid token that a request of a rank may use, or -1.
@@ -84,8 +89,12 @@
 	if i < 0 {
 		return false
 	}
+	until := now + admittedLifetime
+	if k := t.held[target][i]; k.strict {
+		until = k.until
+	}
 	t.held[target] = slices.Delete(t.held[target], i, i+1)
-	t.admitted[target] = append(t.admitted[target], now+admittedLifetime)
+	t.admitted[target] = append(t.admitted[target], until)
 	return true
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -69,6 +69,7 @@
 	vars.Set("rate_limits_total", &m.RateLimits.Announcements)
 	vars.Set("invalid_rate_limits_total", &m.RateLimits.Invalid)
 	vars.Set("rate_limited_attempts_total", &m.RateLimits.Attempts)
+	vars.Set("cold_targets", &m.RateLimits.ColdTargets)
 	vars.Set("rate_tokens_granted_total", &m.RateLimits.TokensGranted)
 	vars.Set("rate_tokens_denied_total", &m.RateLimits.TokensDenied)
 	vars.Set("rate_allocator_failures_total", &m.RateLimits.AllocatorFailures)
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -219,6 +219,28 @@
 	return c
 }
 
+// coldLimits returns the limits, in requests per second from all entries, of the cold targets whose groups
+// have one.
+func (p *plan) coldLimits() map[string]float64 {
+	rates := make(map[string]float64)
+	for i := range p.sheet.Groups {
+		if g := &p.sheet.Groups[i]; g.ColdRate > 0 {
+			rates[g.Name] = g.ColdRate
+		}
+	}
+	limits := make(map[string]float64)
+	if len(rates) == 0 {
+		return limits
+	}
+	for i := range p.targets.Targets {
+		t := &p.targets.Targets[i]
+		if rate, limited := rates[t.Group]; limited && t.Cold {
+			limits[t.ID] = rate
+		}
+	}
+	return limits
+}
+
 // findGatheredGroups sets gatheredGroups to the groups that only gathered requests use. All entries
 // share the other groups evenly.
 func (p *plan) findGatheredGroups() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -166,6 +166,7 @@
 func (r *Relay) applyPlan(p *plan) {
 	c := p.catalogue()
 	c.Entries, c.Homes, c.Repeats = r.plannedFleet.entries, r.plannedFleet.homes, r.cfg.Repeats
+	r.cfg.Engine.RateLimits().SetColdLimits(p.coldLimits())
 	r.cfg.Engine.SetCatalogue(c)
 	r.cfg.Targets.Configure(p.connectionTargets(), func(t sheet.Target) int { return t.MaxConnections })
 }
--- a/internal/targetrate/acquire.go
+++ b/internal/targetrate/acquire.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
 )
@@ -129,7 +130,7 @@
 
 // isLimited reports whether a target has a limit. The caller must hold mu.
 func (l *Limiter) isLimited(target string) bool {
-	_, limited := l.announcements.Limit(target)
+	_, limited := l.limit(target)
 	return limited
 }
 
@@ -239,6 +240,9 @@
 	for _, t := range targets {
 		if known, ok := l.announcements.Announcement(t, now); ok {
 			in.Targets = append(in.Targets, EncodeAnnouncement(known))
+		} else if _, cold := l.cold[t]; cold {
+			// The target has announced nothing. Receivers ignore an announcement of this age.
+			in.Targets = append(in.Targets, EncodeAnnouncement(ratelimit.Announcement{Target: notice.Target{ID: t}, Age: ratelimit.Retention}))
 		}
 	}
 	l.mu.Unlock()
@@ -258,8 +262,14 @@
 			continue
 		}
 		// Durations count from the allocator's answer, so that a token is not used too early.
-		l.tokens.RecordGrant(g.Target, allocator.ID, rank, received, ratelimit.Grant{Granted: g.Granted,
-			ValidAfter: micros(g.ValidAfterUs), Wait: micros(g.WaitUs)})
+		grant := ratelimit.Grant{Granted: g.Granted, ValidAfter: micros(g.ValidAfterUs), Wait: micros(g.WaitUs)}
+		if _, cold := l.cold[g.Target]; cold && g.Granted {
+			// Its end counts from the request, so that a late answer does not prolong it.
+			if grant.VoidAfter = now + grant.ValidAfter + ratelimit.ColdTokenLifetime - received; grant.VoidAfter <= grant.ValidAfter {
+				continue
+			}
+		}
+		l.tokens.RecordGrant(g.Target, allocator.ID, rank, received, grant)
 		granted = granted || g.Granted
 	}
 	return granted
--- a/internal/targetrate/allocate.go
+++ b/internal/targetrate/allocate.go
@@ -29,7 +29,12 @@
 	if chosen, ok := l.chosen[target]; ok {
 		return chosen
 	}
-	chosen := ratelimit.Allocators(target, l.zones[target], l.fleet.Entries)
+	var chosen []ratelimit.Entry
+	if _, cold := l.cold[target]; cold {
+		chosen = l.coldView.Allocators(target, l.zones[target])
+	} else {
+		chosen = ratelimit.Allocators(target, l.zones[target], l.fleet.Entries)
+	}
 	l.chosen[target] = chosen
 	return chosen
 }
@@ -39,7 +44,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet = f
+	l.coldView.Update(l.cfg.Clock(), f.Entries, f.AssumedEntries > 0)
+	l.clearAllocators()
+}
+
+// clearAllocators forgets which entries allocate, after a change of what that depends on. The caller must
+// hold mu.
+func (l *Limiter) clearAllocators() {
 	clear(l.chosen)
+	clear(l.allocatesCold)
 }
 
 // HandleRequest grants a token of the first target that has one.
@@ -65,7 +78,10 @@
 
 // allocate grants a token of a target. The caller must hold mu.
 func (l *Limiter) allocate(now time.Duration, target string, rank int, maxWait time.Duration) ratelimit.Grant {
-	perSecond, limited := l.announcements.Limit(target)
+	perSecond, limited := l.limit(target)
+	if _, cold := l.cold[target]; cold {
+		return l.allocateCold(now, target, perSecond, rank, maxWait)
+	}
 	allocators := l.allocators(target)
 	position := slices.IndexFunc(allocators, func(e ratelimit.Entry) bool { return e.ID == l.cfg.Entry })
 	// Only the first allocator probes whether a limit of zero has ended.
@@ -73,9 +89,34 @@
 		return ratelimit.Grant{Wait: notAllocatorWait}
 	}
 	part := perSecond / float64(max(len(allocators), l.fleet.AssumedEntries))
-	if l.allocations[target] == nil {
+	if a := l.allocations[target]; a == nil || a.Even() {
 		l.allocations[target] = ratelimit.NewAllocation(now, part)
 	}
+	return l.grant(now, target, part, rank, maxWait)
+}
+
+// allocateCold grants a token of a cold target. The caller must hold mu.
+func (l *Limiter) allocateCold(now time.Duration, target string, perSecond float64, rank int, maxWait time.Duration) ratelimit.Grant {
+	allocates, cached := l.allocatesCold[target]
+	if !cached {
+		// A time that has to pass is noticed at the next SetFleet, which is called once a second.
+		allocates = l.coldView.Allocates(l.cfg.Entry, target, l.zones[target], now)
+		l.allocatesCold[target] = allocates
+	}
+	if !allocates || perSecond == 0 && l.allocators(target)[0].ID != l.cfg.Entry {
+		// If this entry becomes an allocator again, it starts without a token.
+		delete(l.allocations, target)
+		return ratelimit.Grant{Wait: notAllocatorWait}
+	}
+	part := perSecond * ratelimit.ColdPart
+	if a := l.allocations[target]; a == nil || !a.Even() {
+		l.allocations[target] = ratelimit.NewEvenAllocation(now, part)
+	}
+	return l.grant(now, target, part, rank, maxWait)
+}
+
+// grant grants a token of part tokens per second. The caller must hold mu.
+func (l *Limiter) grant(now time.Duration, target string, part float64, rank int, maxWait time.Duration) ratelimit.Grant {
 	g := l.allocations[target].Allocate(now, part, rank, maxWait)
 	if g.Granted {
 		l.cfg.Metrics.TokensGranted.Add(1)
--- a/internal/targetrate/targetrate.go
+++ b/internal/targetrate/targetrate.go
@@ -32,6 +32,8 @@
 	TokensGranted, TokensDenied expvar.Int
 	// AllocatorFailures counts requests for tokens that an allocator did not answer.
 	AllocatorFailures expvar.Int
+	// ColdTargets is the number of cold targets that have a limit.
+	ColdTargets expvar.Int
 }
 
 // Config holds the dependencies of a Limiter.
@@ -62,6 +64,10 @@
 	mu sync.Mutex
 	// announcements is guarded by mu.
 	announcements *ratelimit.Announcements
+	// cold holds the limits, in requests per second, of cold targets, and coldView chooses their
+	// allocators. Guarded by mu.
+	cold     map[string]float64
+	coldView *ratelimit.ColdView
 	// tokens holds the tokens of this entry, and allocations what it allocates of the limits of
 	// targets. Guarded by mu.
 	tokens      *ratelimit.Tokens
@@ -71,6 +77,8 @@
 	// fleet is guarded by mu, chosen caches the allocators that follow from it by target.
 	fleet  Fleet
 	chosen map[string][]ratelimit.Entry
+	// allocatesCold caches by target whether this entry allocates its cold limit. Guarded by mu.
+	allocatesCold map[string]bool
 	// unreachable holds the times until which allocators are not asked. Guarded by mu.
 	unreachable map[string]time.Duration
 	// lastWanted holds the time of the last request that wanted a token of a target in the background.
@@ -88,10 +96,12 @@
 	return &Limiter{
 		cfg:           cfg,
 		announcements: ratelimit.NewAnnouncements(),
+		coldView:      ratelimit.NewColdView(),
 		tokens:        ratelimit.NewTokens(),
 		allocations:   make(map[string]*ratelimit.Allocation),
 		fleet:         Fleet{Entries: []ratelimit.Entry{{ID: cfg.Entry}}},
 		chosen:        make(map[string][]ratelimit.Entry),
+		allocatesCold: make(map[string]bool),
 		unreachable:   make(map[string]time.Duration),
 		lastWanted:    make(map[string]time.Duration),
 		asking:        make(map[string]bool),
@@ -102,6 +112,30 @@
 // Active reports whether any target has a limit.
 func (l *Limiter) Active() bool { return l.limited.Load() > 0 }
 
+// updateActive recounts the limits. The caller must hold mu.
+func (l *Limiter) updateActive() { l.limited.Store(int64(l.announcements.Limited() + len(l.cold))) }
+
+// limit returns the limit of a target in requests per second, and false if it has none. If the target has
+// stated a limit and is cold, the lower limit counts. The caller must hold mu.
+func (l *Limiter) limit(target string) (perSecond float64, limited bool) {
+	perSecond, limited = l.announcements.Limit(target)
+	if cold, isCold := l.cold[target]; isCold && (!limited || cold < perSecond) {
+		return cold, true
+	}
+	return perSecond, limited
+}
+
+// SetColdLimits replaces the limits of cold targets, in requests per second from all entries. It must be
+// called before a plan with these targets is used.
+func (l *Limiter) SetColdLimits(limits map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold = limits
+	l.clearAllocators()
+	l.cfg.Metrics.ColdTargets.Set(int64(len(limits)))
+	l.updateActive()
+}
+
 // RecordReply records what a reply to a request sent at the given time states about the limit of its
 // target. conclusive is set if a reply without a statement proves that the target has no limit.
 func (l *Limiter) RecordReply(target, requestID string, sent time.Duration, rate requestrate.Rate, conclusive bool) {
@@ -116,7 +150,7 @@
 	} else {
 		isNews = l.announcements.RecordNoLimit(target, sent, now)
 	}
-	l.limited.Store(int64(l.announcements.Limited()))
+	l.updateActive()
 	l.mu.Unlock()
 	if isNews {
 		l.announce(ratelimit.Announcement{Target: notice.Target{ID: target}, Limited: rate.Stated, PerSecond: rate.PerSecond}, requestID, "")
@@ -134,7 +168,7 @@
 	l.mu.Lock()
 	now := l.cfg.Clock()
 	isNews := l.announcements.Merge(r, now)
-	l.limited.Store(int64(l.announcements.Limited()))
+	l.updateActive()
 	// The report may have ended the doubt about another announcement, which counts now.
 	counts, _ := l.announcements.Announcement(r.ID, now)
 	l.mu.Unlock()
@@ -176,9 +210,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.zones = zones
-	clear(l.chosen)
+	l.clearAllocators()
 	l.announcements.SetListed(started)
-	l.limited.Store(int64(l.announcements.Limited()))
+	l.updateActive()
 }
 
 // CountAttempt counts an attempt that is sent to a target, if the target has a limit.
@@ -203,7 +237,7 @@
 	l.announcements.Expire(now)
 	l.tokens.Expire(now)
 	maps.DeleteFunc(l.allocations, func(target string, _ *ratelimit.Allocation) bool {
-		_, limited := l.announcements.Limit(target)
+		_, limited := l.limit(target)
 		return !limited
 	})
 	maps.DeleteFunc(l.lastWanted, func(_ string, at time.Duration) bool { return now-at > denseInterval })
@@ -218,12 +252,12 @@
 func (l *Limiter) Maintain() {
 	l.mu.Lock()
 	l.expire(l.cfg.Clock())
-	l.limited.Store(int64(l.announcements.Limited()))
+	l.updateActive()
 	attempts := l.attempts
 	l.attempts = make(map[string]map[string]int)
 	limits := make(map[string]float64, len(attempts))
 	for target := range attempts {
-		limits[target], _ = l.announcements.Limit(target)
+		limits[target], _ = l.limit(target)
 	}
 	l.mu.Unlock()
 	if len(attempts) == 0 {
