Decide the use of the reserve by the size of the body

Cause: a body of 16 KiB, its buffers and its copy exceed 16 KiB together, so requests above about 4 KiB did not get into the reserve; TestSmallRequestsUseReserve sent only 1,000 bytes. Change: Holder.SetSize states the size, announced or received; a holder is large by its body. The search API leaves idle and header timeouts to its server alone.

--- a/internal/entry/relaypeers.go
+++ b/internal/entry/relaypeers.go
@@ -55,6 +55,7 @@
 	}
 	held := h.budget.Hold(bytebudget.Hosted)
 	defer held.Close()
+	held.SetSize(int64(len(first.Start.Body)))
 	// The body counts twice, as received and as sent to a target.
 	if !held.Acquire(2 * int64(len(first.Start.Body))) {
 		return status.New(status.Overloaded, status.NotRun, "this entry holds too many bytes")
--- a/state/bytebudget/bytebudget.go
+++ b/state/bytebudget/bytebudget.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// SmallBytes is the size up to which a holder may use the reserve.
+	// SmallBytes is the size of a body up to which its holder may use the reserve.
 	SmallBytes = 16 << 10
 	// reserveFraction is the part of the budget that only small holders use: one in eight.
 	reserveFraction = 8
@@ -95,6 +95,8 @@
 	budget *Budget
 	kind   Kind
 	bytes  int64
+	// large is set if the body exceeds SmallBytes.
+	large bool
 	// evict interrupts the owner. It is called without a lock, at most once.
 	evict   func()
 	evicted bool
@@ -118,6 +120,18 @@
 	return h
 }
 
+// SetSize states the size of the holder's body as far as it is known. A holder whose body exceeds
+// SmallBytes does not use the reserve. What counts is the body, because a small one and its copies together
+// may exceed SmallBytes.
+func (h *Holder) SetSize(n int64) {
+	if n <= SmallBytes {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.large = true
+}
+
 // Acquire adds n bytes to the holder and reports whether it has them. If the budget is exhausted, it
 // evicts stalled holders; if there are too few, this one keeps what it had. A holder that has been
 // evicted gets none.
@@ -130,7 +144,7 @@
 	}
 	limit := b.limit
 	// A refused reply costs a request that has run, so replies use the whole budget.
-	if h.bytes+n > SmallBytes && h.kind != Reply {
+	if h.large && h.kind != Reply {
 		limit -= b.limit / reserveFraction
 	}
 	victims := b.makeRoom(h, limit-n)
--- a/state/bytebudget/read.go
+++ b/state/bytebudget/read.go
@@ -23,6 +23,7 @@
 	if length == 0 {
 		return nil, nil
 	}
+	h.SetSize(length)
 	var full [][]byte
 	var received int64
 	size := int64(firstBufferBytes)
@@ -45,6 +46,7 @@
 				onRead(received)
 			}
 			if err == io.EOF {
+				h.SetSize(received)
 				return h.join(append(full, buffer), received)
 			}
 			if err != nil {
@@ -52,6 +54,7 @@
 			}
 		}
 		full = append(full, buffer)
+		h.SetSize(received)
 		size = min(max(2*size, firstBufferBytes), maxBufferBytes)
 		if length >= 0 {
 			// One byte more than announced shows the end of the body.
--- a/transport/callerhttp/server.go
+++ b/transport/callerhttp/server.go
@@ -83,10 +83,9 @@
 // NewServer returns a kratos server on lis.
 func NewServer(lis net.Listener, h Handler, opt Options) *khttp.Server {
 	s := &server{handler: h, ingress: bodyread.NewIngress(opt.Budget), maxBodyBytes: opt.MaxBodyBytes}
-	lis = connlimit.NewListener(netutil.LimitListener(lis, opt.MaxConnections), connlimit.Limits{
-		Idle:   func() time.Duration { return IdleTimeout },
-		Header: func() time.Duration { return ReadTimeout },
-	})
+	// The server's own timeouts bound idle connections and headers.
+	unlimited := func() time.Duration { return 0 }
+	lis = connlimit.NewListener(netutil.LimitListener(lis, opt.MaxConnections), connlimit.Limits{Idle: unlimited, Header: unlimited})
 	srv := khttp.NewServer(
 		khttp.Listener(lis),
 		adminhttp.Endpoint(lis),
