Test that an unread response ends when it gives way

Cause: TestUnreadResponseGivesWay passed without the interruption of a write, because its client read on. Change: the test waits for the end of the handler before it reads, on a listener without connlimit. The test fails without the interruption and without counting the response. http.ErrAbortHandler is still not covered.

--- a/transport/bodyread/bodyread_test.go
+++ b/transport/bodyread/bodyread_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,8 +29,16 @@
 
 // serve starts a server that answers with the size of the body, or with responseBytes if they are not 0.
 func serve(t testing.TB, budget *bytebudget.Budget, responseBytes int) string {
+	address, _ := serveCounted(t, budget, responseBytes)
+	return address
+}
+
+// serveCounted is like serve and also returns the number of handlers that have ended.
+func serveCounted(t testing.TB, budget *bytebudget.Budget, responseBytes int) (address string, ended *atomic.Int64) {
 	ingress := NewIngress(budget)
+	ended = new(atomic.Int64)
 	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer ended.Add(1)
 		incoming := ingress.Body(w, r)
 		body, err := incoming.Read(maxBody, testTimeout)
 		if err != nil {
@@ -46,12 +55,14 @@
 		}
 		ingress.WriteResponse(w, fmt.Append(nil, len(body)))
 	}))
-	srv.Listener = connlimit.NewListener(srv.Listener, connlimit.Limits{
-		Idle: func() time.Duration { return testTimeout }, Header: func() time.Duration { return testTimeout }})
-	srv.Config.ConnState = connlimit.ConnState
+	if responseBytes == 0 { // Otherwise connlimit would also end a response that is not read.
+		srv.Listener = connlimit.NewListener(srv.Listener, connlimit.Limits{
+			Idle: func() time.Duration { return testTimeout }, Header: func() time.Duration { return testTimeout }})
+		srv.Config.ConnState = connlimit.ConnState
+	}
 	srv.Start()
 	t.Cleanup(srv.Close)
-	return srv.Listener.Addr().String()
+	return srv.Listener.Addr().String(), ended
 }
 
 // client is a connection with a request that announces size bytes of body.
@@ -159,26 +170,29 @@
 	is.Equal(body, "3")
 }
 
-// Guards against responses that are never read and keep others from being served, and against a
-// truncated response that looks complete.
+// Guards against responses that are never read and hold their bytes and their connection while others
+// are refused, and against a truncated response that looks complete.
 func TestUnreadResponseGivesWay(t *testing.T) {
 	is := is.New(t)
 	const size = 64 << 20 // More than the buffers of the system hold.
 	budget := bytebudget.New(1<<20, nil)
-	address := serve(t, budget, size)
+	address, ended := serveCounted(t, budget, size)
 	unread := dial(t, address, 0)
-	var status int
-	for end := time.Now().Add(testTimeout); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if budget.Held()["response"] < size {
-			continue // The response to the first client is not being written yet.
-		}
-		c := dial(t, address, 0)
-		resp, err := http.ReadResponse(c.reader, nil)
-		is.NoErr(err)
-		status = resp.StatusCode
-		c.Close()
+	end := time.Now().Add(testTimeout)
+	for budget.Held()["response"] < size {
+		is.True(time.Now().Before(end)) // The response is being written.
+		time.Sleep(time.Millisecond)
 	}
-	is.Equal(status, http.StatusOK)
+	time.Sleep(bytebudget.MinStall + bytebudget.MinStall/2)
+	holder := budget.Hold(bytebudget.Running)
+	defer holder.Close()
+	is.True(holder.Acquire(1))
+	// The handler ends although nothing is read.
+	for ended.Load() == 0 {
+		is.True(time.Now().Before(end))
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(budget.GaveWay()["evicted"], int64(1))
 	resp, err := http.ReadResponse(unread.reader, nil)
 	is.NoErr(err)
 	n, err := io.Copy(io.Discard, resp.Body)
