Correct a comment of the crowd test

Cause: search entries do not state memory_mb by default; only their bounds are those of 256 MB. Change: the comment says so. Result: crowd and bounds are unchanged.

--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -202,7 +202,7 @@
 	return false
 }
 
-// startSearch starts an entry that serves the search API. It has 256 MB, the default.
+// startSearch starts an entry that serves the search API. Its bounds are those of 256 MB, the default.
 func startSearch(t *testing.T) *subject {
 	const connections, memoryMB = 400, 256
 	f := testfleet.New(t, testfleet.Options{Entries: 1, Targets: 2, Shards: 2, ServiceMS: 1})
