Keep slots for urgent requests only with the setting urgent_first

Change: settings field urgent_first, off by default, and engine.Config.UrgentFirst. The load ranked and the tests of the order set it.

--- a/coordination/shardroom/shardroom.go
+++ b/coordination/shardroom/shardroom.go
@@ -36,6 +36,10 @@
 	// MaxPermitted bounds the requests that may leave a shard out after many rejections. The default is
 	// 60, the permission of ten rejections.
 	MaxPermitted int
+	// UrgentFirst keeps free slots of contended shards for more urgent requests. It is off by default: in
+	// the played load of two priorities it halves the refusals of the urgent kind, and more requests are
+	// refused in all, because kept slots stay free for a time.
+	UrgentFirst bool
 	// MaxYields is the number of starts of more urgent requests, for each more urgent priority, after
 	// which a priority may take a slot that is kept for them. The default is 8: enough to serve an urgent kind
 	// first, and a floor that keeps every priority from starving.
@@ -96,8 +100,12 @@
 // RecordLeftOut records that a request that could have used the shard left it out.
 func (c *Contention) RecordLeftOut() { c.permitted = max(c.permitted-1, 0) }
 
-// RecordStart records that a request of a priority started a sub-request at the shard.
+// RecordStart records that a request of a priority started a sub-request at the shard. Only
+// Settings.UrgentFirst needs it.
 func (c *Contention) RecordStart(s Settings, now time.Duration, priority int) {
+	if !s.UrgentFirst {
+		return
+	}
 	c.asked(s, now, priority).yields = 0
 	for i := range c.priorities {
 		if p := &c.priorities[i]; p.priority > priority {
@@ -113,13 +121,13 @@
 const maxKeptShift = 8
 
 // SlotsKept returns the number of free slots that are kept from requests of a priority. It is zero unless
-// the shard has recently rejected a more urgent request. Otherwise one slot is kept from the second
+// Settings.UrgentFirst is set and the shard has recently rejected a more urgent request. Otherwise one slot is kept from the second
 // priority in use, and twice as many and one more from each following one, because a priority needs a slot
 // in addition to those that are kept from itself. After
 // MaxYields starts for each of these priorities, the priority may take one of the slots, unless a more
 // urgent one has yielded MaxYields times itself.
 func (c *Contention) SlotsKept(s Settings, now time.Duration, priority int) int {
-	if now >= c.until {
+	if !s.UrgentFirst || now >= c.until {
 		return 0
 	}
 	moreUrgent, yields := 0, 0
--- a/coordination/shardroom/shardroom_test.go
+++ b/coordination/shardroom/shardroom_test.go
@@ -106,6 +106,7 @@
 // calls observe after each step with the numbers of started requests by service.
 func contest(seed uint64, slots, steps int, priorities []int, observe func(now time.Duration, c *Contention, started []int)) {
 	s, rng := DefaultSettings(), rand.New(rand.NewPCG(seed, 1))
+	s.UrgentFirst = true
 	var c Contention
 	var ends []time.Duration
 	started := make([]int, len(priorities))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -55,7 +55,9 @@
 	FingerprintKey []byte
 	// PolicyOn enables the load policies and the crash guard.
 	PolicyOn bool
-	Metrics  *Metrics
+	// UrgentFirst keeps free slots of contended shards for requests of higher priority.
+	UrgentFirst bool
+	Metrics     *Metrics
 	// RequestLinesPerSecond limits the rate of request log lines. Zero selects
 	// DefaultRequestLinesPerSecond.
 	RequestLinesPerSecond uint32
@@ -134,7 +136,7 @@
 	var guard *crashGuard
 	if cfg.PolicyOn {
 		restrictions.zones = zones
-		p = newLoadPolicy(cfg.Self, restrictions, failing)
+		p = newLoadPolicy(cfg.Self, restrictions, failing, cfg.UrgentFirst)
 		guard = newCrashGuard(cfg.Self, cfg.FingerprintKey)
 	}
 	e := &Engine{
--- a/internal/engine/loadpolicy.go
+++ b/internal/engine/loadpolicy.go
@@ -13,6 +13,7 @@
 	"github.com/balsamstall/balsamstall/coordination/rampup"
 	"github.com/balsamstall/balsamstall/coordination/replica"
 	"github.com/balsamstall/balsamstall/coordination/retrybudget"
+	"github.com/balsamstall/balsamstall/coordination/shardroom"
 	"github.com/balsamstall/balsamstall/protocol/adminapi"
 	"github.com/balsamstall/balsamstall/protocol/targetapi"
 	"github.com/balsamstall/balsamstall/state/targets"
@@ -39,9 +40,11 @@
 	failing      *failingSet
 	settings     *replica.Settings
 	ramp         rampup.Settings
-	targets      targets.Table[targetState]
-	services     atomic.Pointer[map[string]*serviceState]
-	groups       atomic.Pointer[map[string]*groupState]
+	// shardRoom configures the decisions about contended shards.
+	shardRoom shardroom.Settings
+	targets   targets.Table[targetState]
+	services  atomic.Pointer[map[string]*serviceState]
+	groups    atomic.Pointer[map[string]*groupState]
 
 	admitMu sync.Mutex
 	// admission is guarded by admitMu.
@@ -79,13 +82,16 @@
 	admission *admission.Service
 }
 
-func newLoadPolicy(self Identity, restrictions *restrictions, failing *failingSet) *loadPolicy {
+func newLoadPolicy(self Identity, restrictions *restrictions, failing *failingSet, urgentFirst bool) *loadPolicy {
+	shardRoom := shardroom.DefaultSettings()
+	shardRoom.UrgentFirst = urgentFirst
 	return &loadPolicy{
 		self:         self,
 		restrictions: restrictions,
 		failing:      failing,
 		settings:     replica.DefaultSettings(),
 		ramp:         rampup.DefaultSettings(),
+		shardRoom:    shardRoom,
 		admission:    admission.New(admissionSettings()),
 	}
 }
--- a/internal/engine/room.go
+++ b/internal/engine/room.go
@@ -192,7 +192,7 @@
 	s.Free = g.free(req.late())
 	now := l.now()
 	s.Contended = g.contention.Contended(now)
-	s.Kept = g.contention.SlotsKept(shardroom.DefaultSettings(), now, req.Priority)
+	s.Kept = g.contention.SlotsKept(l.shardRoom, now, req.Priority)
 	return s
 }
 
@@ -200,7 +200,7 @@
 	for _, shard := range shards {
 		if g := l.group(req.Groups[shard]); g != nil {
 			g.mu.Lock()
-			g.contention.RecordRejection(shardroom.DefaultSettings(), l.now(), req.Priority)
+			g.contention.RecordRejection(l.shardRoom, l.now(), req.Priority)
 			g.mu.Unlock()
 		}
 	}
@@ -213,7 +213,7 @@
 	if g := l.group(req.Groups[shard]); g != nil {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.contention.RecordStart(shardroom.DefaultSettings(), l.now(), req.Priority)
+		g.contention.RecordStart(l.shardRoom, l.now(), req.Priority)
 	}
 }
 
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -127,6 +127,7 @@
 		Targets:               targets,
 		FingerprintKey:        []byte(set.PeerKey),
 		PolicyOn:              true,
+		UrgentFirst:           set.UrgentFirst,
 		Metrics:               &d.metrics.Metrics,
 		RequestLinesPerSecond: uint32(set.RequestLinesPerSecond),
 		NotifyPeers:           func() { d.syncer.NotifyPeers() },
--- a/internal/loadmodel/load.go
+++ b/internal/loadmodel/load.go
@@ -102,6 +102,8 @@
 	// never. NoReconciliation makes the entries use the restored list as it is.
 	RestoredAt       time.Duration
 	NoReconciliation bool
+	// UrgentFirst makes the entries keep free slots of contended shards for urgent requests.
+	UrgentFirst bool
 	// SetupTarget, if set, adjusts a target before the start. Shards and replicas count from 0.
 	SetupTarget func(shard, replica int, t *Target)
 }
@@ -175,7 +177,7 @@
 	for i := range l.Entries {
 		self := engine.Identity{Entry: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprint(i % zones), Incarnation: ids.NewIncarnation(), Start: s.start.Add(-time.Hour)}
 		metrics := &engine.Metrics{}
-		e := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: connections{s, i}, FingerprintKey: []byte("model"), PolicyOn: true, Metrics: metrics, Tokens: s.callPeer,
+		e := engine.New(engine.Config{Self: self, Log: zerolog.Nop(), Targets: connections{s, i}, FingerprintKey: []byte("model"), PolicyOn: true, UrgentFirst: s.load.UrgentFirst, Metrics: metrics, Tokens: s.callPeer,
 			ReachedTargets: func(context.Context) []string { return s.reachedByPeers(i) }})
 		s.engines, s.metrics, s.lists = append(s.engines, e), append(s.metrics, metrics), append(s.lists, &entryList{reconciler: restore.New(restore.DefaultSettings())})
 		s.setList(i, 1, s.targets)
--- a/internal/loadmodel/loads.go
+++ b/internal/loadmodel/loads.go
@@ -99,7 +99,7 @@
 		lookup := &l.Kinds[1]
 		lookup.BurstFactor, lookup.BurstStart, lookup.BurstEnd = 3, 4*time.Second, 8*time.Second
 	case "ranked": // Like "contended" with pages only, of two priorities.
-		l.Kinds, l.Shards, l.SetupTarget = GatheredKinds()[:1], 36, setUpContendedShards
+		l.Kinds, l.Shards, l.SetupTarget, l.UrgentFirst = GatheredKinds()[:1], 36, setUpContendedShards, true
 		urgent, bulk := l.Kinds[0], l.Kinds[0]
 		urgent.Name, urgent.Rate, urgent.Priority = "urgent", 20, 1
 		bulk.Name, bulk.Rate, bulk.Priority = "bulk", 25, 3
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -57,6 +57,9 @@
 	// HomesFrom is the minimum number of entries in the fleet for homes to be used. The default is
 	// 24.
 	HomesFrom int64 `json:"homes_from"`
+	// UrgentFirst keeps free slots of contended shards for requests of higher priority. The default is
+	// false.
+	UrgentFirst bool `json:"urgent_first"`
 	// MaxCallerConnections is the maximum number of open caller connections. Zero, the default,
 	// derives it from the limit of open files and MemoryMB.
 	MaxCallerConnections int64 `json:"max_caller_connections"`
