Wrap two long comments

Cause: two comments had lines beyond the usual width. Change: the same text, wrapped. Result: go test ./coordination/failing ./coordination/shardroom ./internal/architecture: passed.

--- a/coordination/failing/failing.go
+++ b/coordination/failing/failing.go
@@ -1,8 +1,8 @@
 // Package failing tracks the targets on which attempts failed after they were sent, from this entry
-// or from another. An attempt fails when its connection breaks or the target replies with an error. Such a target loses some of its answers, and each lost answer costs a repeat (a
-// retry or hedge). With many entries and few requests per shard, one entry tries a target only every
-// few seconds, too rarely to detect the fault by itself while it lasts. Entries therefore exchange
-// reports.
+// or from another. An attempt fails when its connection breaks or the target replies with an error. Such
+// a target loses some of its answers, and each lost answer costs a repeat (a retry or hedge). With many
+// entries and few requests per shard, one entry tries a target only every few seconds, too rarely to
+// detect the fault by itself while it lasts. Entries therefore exchange reports.
 //
 // All times are on the monotonic clock of the process. The package starts no goroutines.
 package failing
--- a/coordination/shardroom/shardroom.go
+++ b/coordination/shardroom/shardroom.go
@@ -120,12 +120,12 @@
 // maxKeptShift bounds the slots that are kept to 255, more than any limit of a shard.
 const maxKeptShift = 8
 
-// SlotsKept returns the number of free slots that are kept from requests of a priority. It is zero unless
-// Settings.UrgentFirst is set and the shard has recently rejected a more urgent request. Otherwise one slot is kept from the second
-// priority in use, and twice as many and one more from each following one, because a priority needs a slot
-// in addition to those that are kept from itself. After
-// MaxYields starts for each of these priorities, the priority may take one of the slots, unless a more
-// urgent one has yielded MaxYields times itself.
+// SlotsKept returns the number of free slots that are kept from requests of a priority. It is zero
+// unless Settings.UrgentFirst is set and the shard has recently rejected a more urgent request. Otherwise
+// one slot is kept from the second priority in use, and twice as many and one more from each following
+// one, because a priority needs a slot in addition to those that are kept from itself. After MaxYields
+// starts for each of these priorities, the priority may take one of the slots, unless a more urgent one
+// has yielded MaxYields times itself.
 func (c *Contention) SlotsKept(s Settings, now time.Duration, priority int) int {
 	if !s.UrgentFirst || now >= c.until {
 		return 0
