Read and update the contention of a shard in one place each

Cause: hasCapacity repeated room, and three methods repeated the lookup and the lock of a group. Change: hasCapacity asks room; updateContention holds the lookup and the lock. No behaviour changes. Result: go test -race -run 'Contended|Urgent|LeftOut|Rejection|Evacuat|NoShard|Overloaded' ./internal/engine: passed.

--- a/internal/engine/groups.go
+++ b/internal/engine/groups.go
@@ -64,18 +64,7 @@
 	g.limiter.End(now, class == replica.Success && took <= usefulLatency, (class != replica.Canceled || took > usefulLatency) && class != replica.Shed)
 }
 
-func (l *loadPolicy) hasCapacity(req *Request, shard int) bool {
-	if len(req.Groups) < 2 {
-		return true // Leaving out the only shard would gain nothing.
-	}
-	g := l.group(req.Groups[shard])
-	if g == nil {
-		return true
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.free(req.late()) > 0
-}
+func (l *loadPolicy) hasCapacity(req *Request, shard int) bool { return l.room(req, shard).Free > 0 }
 
 func (l *loadPolicy) anyAvailable(req *Request, shard int, targets []string) (wait time.Duration, ok bool) {
 	now := l.now()
--- a/internal/engine/room.go
+++ b/internal/engine/room.go
@@ -198,29 +198,25 @@
 
 func (l *loadPolicy) recordRejection(req *Request, shards []int) {
 	for _, shard := range shards {
-		if g := l.group(req.Groups[shard]); g != nil {
-			g.mu.Lock()
-			g.contention.RecordRejection(l.shardRoom, l.now(), req.Priority)
-			g.mu.Unlock()
-		}
+		l.updateContention(req, shard, func(c *shardroom.Contention) { c.RecordRejection(l.shardRoom, l.now(), req.Priority) })
 	}
 }
 
 func (l *loadPolicy) recordStart(req *Request, shard int) {
-	if len(req.Groups) < 2 {
-		return
-	}
-	if g := l.group(req.Groups[shard]); g != nil {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.contention.RecordStart(l.shardRoom, l.now(), req.Priority)
+	if len(req.Groups) >= 2 {
+		l.updateContention(req, shard, func(c *shardroom.Contention) { c.RecordStart(l.shardRoom, l.now(), req.Priority) })
 	}
 }
 
 func (l *loadPolicy) recordLeftOut(req *Request, shard int) {
+	l.updateContention(req, shard, (*shardroom.Contention).RecordLeftOut)
+}
+
+// updateContention calls update with the contention of a shard, if its group is known.
+func (l *loadPolicy) updateContention(req *Request, shard int, update func(*shardroom.Contention)) {
 	if g := l.group(req.Groups[shard]); g != nil {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.contention.RecordLeftOut()
+		update(&g.contention)
 	}
 }
