--- a/review/_kit2/rig/deployment.go
+++ b/review/_kit2/rig/deployment.go
@@ -43,6 +43,8 @@
 	behave func(*arrival) bool
 	// trouble is false with TROUBLE=0.
 	trouble bool
+	// quiet is the beginning of the names of services whose arrivals and runs are not recorded.
+	quiet string
 
 	mu         sync.Mutex
 	nextServer int
@@ -100,13 +102,24 @@
 }
 
 func (d *deployment) recordArrival(a *arrival) {
+	if d.isQuiet(a) {
+		return
+	}
 	d.mu.Lock()
 	d.arrivals = append(d.arrivals, a)
 	d.mu.Unlock()
 	d.log("request %s reaches server %s (%s)", a.id, a.server.id, a.server.service)
 }
 
-func (d *deployment) recordRun(a *arrival) { d.log("server %s runs request %s", a.server.id, a.id) }
+func (d *deployment) recordRun(a *arrival) {
+	if !d.isQuiet(a) {
+		d.log("server %s runs request %s", a.server.id, a.id)
+	}
+}
+
+func (d *deployment) isQuiet(a *arrival) bool {
+	return d.quiet != "" && strings.HasPrefix(a.server.service, d.quiet)
+}
 
 // putConfig writes a configuration.
 func (d *deployment) putConfig(version int, routes, services []any) {
--- a/review/_kit2/rig/servers.go
+++ b/review/_kit2/rig/servers.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -19,7 +20,6 @@
 	method string
 	target string
 	header http.Header
-	body   []byte
 	// conn is the connection, for servers that do something unusual with it. gone is closed when the
 	// caller has closed it.
 	conn net.Conn
@@ -37,6 +37,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	dark  atomic.Bool
 }
 
 func (d *deployment) addServer(service, zone string, slots int) *server {
@@ -72,12 +73,39 @@
 	}
 }
 
+// goDark makes the server silent, as if its machine had no power: it answers nothing any more, and
+// connections to it are not established. The queue of the listener is made short and is filled.
+func (s *server) goDark() {
+	s.dark.Store(true)
+	raw, err := s.lis.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		fatal("listener: %v", err)
+	}
+	_ = raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) })
+	if err != nil {
+		fatal("listen: %v", err)
+	}
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", s.address, 20*time.Millisecond); err == nil {
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
+		}
+	}
+}
+
 func (s *server) accept() {
 	for {
 		c, err := s.lis.Accept()
 		if err != nil {
 			return
 		}
+		if s.dark.Load() {
+			s.mu.Lock()
+			s.conns[c] = true
+			s.mu.Unlock()
+			return
+		}
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
@@ -98,15 +126,17 @@
 		if err != nil {
 			return
 		}
+		if s.dark.Load() {
+			select {}
+		}
 		if req.URL.Path == "/health" {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
 			continue
 		}
-		body, err := io.ReadAll(req.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
-		a := &arrival{server: s, at: time.Now(), id: req.Header.Get("X-Request-Id"), method: req.Method, target: req.RequestURI, header: req.Header, body: body, conn: c}
+		a := &arrival{server: s, at: time.Now(), id: req.Header.Get("X-Request-Id"), method: req.Method, target: req.RequestURI, header: req.Header, conn: c}
 		switch {
 		case a.id == "":
 			fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
