Show how old the last confirmation of a document is

Change: exchanges carry the age of the latest time at which the platform is known to have had no newer version of a document; a reply counts from the start of its call. confirmed_age_ms shows it, and the audit line of an accepted document tells when, and by whom, the version before was last confirmed. No decision uses it. Conclusion: an entry that relies on old news can be told from one whose news does not arrive.

--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -69,6 +69,9 @@
 // platformActor is the actor of documents that were read from the platform.
 const platformActor = "platform"
 
+// peerActor returns the actor of what another entry has sent.
+func peerActor(entry string) string { return "peer " + entry }
+
 // accept decides whether a document becomes the current one, and replaces the current document or refuses
 // the whole candidate.
 func (s *Syncer) accept(key string, content *delta.Document, from origin) revision.Decision {
@@ -204,6 +207,9 @@
 		if from.actor == platformActor && !from.readAt.IsZero() {
 			detail += fmt.Sprintf(", oldest part read %d ms before", time.Since(from.readAt).Milliseconds())
 		}
+		if c := s.confirmations.latest(key); !c.at.IsZero() {
+			detail += fmt.Sprintf(", the version before was confirmed %d ms before by %s", time.Since(c.at).Milliseconds(), c.source)
+		}
 		s.deps.Audit.Record(time.Now(), audit.DocumentAccepted, from.actor, detail)
 	case revision.Conflict:
 		s.recordConflict(key, v, from.actor)
--- /dev/null
+++ b/internal/configsync/confirmation.go
@@ -0,0 +1,93 @@
+package configsync
+
+import (
+	"sync"
+	"time"
+
+	"github.com/balsamstall/balsamstall/coordination/revision"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
+	"github.com/balsamstall/balsamstall/protocol/platformapi"
+)
+
+// maxConfirmedAge is the age up to which exchanges carry a confirmation.
+const maxConfirmedAge = time.Minute
+
+// confirmation states that the platform had no newer version of a document than the current one.
+type confirmation struct {
+	// at is the latest such time, or zero if none is known.
+	at time.Time
+	// source is the actor that reported it: the platform or a peer.
+	source string
+}
+
+// confirmations holds the latest confirmation of each document. It is safe for concurrent use.
+type confirmations struct {
+	mu sync.Mutex
+	// byKey is guarded by mu.
+	byKey map[string]confirmation
+}
+
+// record records a confirmation of the current document, unless a later one is known.
+func (c *confirmations) record(key string, at time.Time, source string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.byKey[key].at) {
+		if c.byKey == nil {
+			c.byKey = make(map[string]confirmation)
+		}
+		c.byKey[key] = confirmation{at: at, source: source}
+	}
+}
+
+// latest returns the latest confirmation of a document.
+func (c *confirmations) latest(key string) confirmation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byKey[key]
+}
+
+// ConfirmedAt returns the latest time at which the platform is known to have had no newer version of a
+// document than the current one, or zero if none is known.
+func (s *Syncer) ConfirmedAt(key string) time.Time { return s.confirmations.latest(key).at }
+
+// confirmedAt returns the time as of which an answer of the platform is complete. A call that waited for
+// changes in vain was answered after the wait.
+func confirmedAt(doc platformapi.Document, changed bool, began time.Time, wait time.Duration) time.Time {
+	switch {
+	case !doc.ConfirmedAt.IsZero():
+		return doc.ConfirmedAt
+	case changed:
+		return began
+	}
+	if now := time.Now(); now.Sub(began) < wait {
+		return now
+	}
+	return began.Add(wait)
+}
+
+// confirmedAge returns the age of the latest confirmation of a document for a message, or nil if none is
+// known.
+func (s *Syncer) confirmedAge(key string, now time.Time) *uint32 {
+	c := s.confirmations.latest(key)
+	age := now.Sub(c.at)
+	if c.at.IsZero() || age > maxConfirmedAge {
+		return nil
+	}
+	ms := uint32((max(age, 0) + time.Millisecond - 1).Milliseconds()) // Rounded up.
+	return &ms
+}
+
+// confirmedBy returns the time of a peer's confirmation in a message that was sent no earlier than
+// sent, or zero if it has none or sent is zero.
+func confirmedBy(d *peerpb.DocumentInfo, sent time.Time) time.Time {
+	if d.ConfirmedAgeMs == nil || sent.IsZero() {
+		return time.Time{}
+	}
+	return sent.Add(-time.Duration(d.GetConfirmedAgeMs()) * time.Millisecond)
+}
+
+// covers reports whether a confirmation of a document that was handled with decision confirms the current
+// document: it is the current one or older.
+func covers(decision revision.Decision) bool {
+	return decision == revision.Accept || decision == revision.Unchanged || decision == revision.TooOld
+}
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -77,8 +77,11 @@
 		RateLimits:  sampleFacts(s.rng, facts.RateLimits),
 	}
 	for _, key := range s.cfg.Keys {
+		// Read before the version, which it would not cover if that was replaced in between.
+		confirmed := s.confirmedAge(key, now)
 		if c := s.store.Claim(key); !c.Version.IsZero() {
-			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Era: c.Version.Era, Revision: c.Version.Revision, Digest: c.Version.Digest[:], Settled: c.Settled})
+			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Era: c.Version.Era, Revision: c.Version.Revision, Digest: c.Version.Digest[:], Settled: c.Settled,
+				ConfirmedAgeMs: confirmed})
 		}
 	}
 	if !includeMembers {
@@ -131,9 +134,9 @@
 	GetRateLimits() []*peerpb.RateLimit
 }
 
-// handleMessage processes a message from a peer. address is the address at which the peer was
-// called, or empty if the peer is the caller.
-func (s *Syncer) handleMessage(m exchangeMessage, address string) {
+// handleMessage processes a message from a peer, which was sent no earlier than sent, or zero if that is
+// unknown. address is the address at which the peer was called, or empty if the peer is the caller.
+func (s *Syncer) handleMessage(m exchangeMessage, address string, sent time.Time) {
 	now := time.Now()
 	sender := entryFrom(m)
 	if sender.Address == "" {
@@ -154,7 +157,7 @@
 	}
 	s.mu.Unlock()
 	for _, d := range m.GetDocuments() {
-		s.handleDocumentInfo(sender, d)
+		s.handleDocumentInfo(sender, d, sent)
 	}
 	if s.deps.Facts != nil {
 		facts := FactSet{Quarantines: m.GetQuarantines(), Crashes: m.GetCrashes(), Leaving: m.GetLeaving(),
@@ -191,32 +194,35 @@
 	return e
 }
 
-// handleDocumentInfo compares a peer's version of a document with the current one.
-func (s *Syncer) handleDocumentInfo(sender membership.Entry, d *peerpb.DocumentInfo) {
+// handleDocumentInfo compares a peer's version of a document with the current one. A confirmation of a newer
+// version counts once that is fetched.
+func (s *Syncer) handleDocumentInfo(sender membership.Entry, d *peerpb.DocumentInfo, sent time.Time) {
 	queue := s.offers[d.Key]
 	digest, ok := revision.ParseDigest(d.Digest)
 	if queue == nil || !ok || sender.ID == s.cfg.Entry {
 		return
 	}
 	claim := revision.Claim{Version: revision.Version{Era: d.Era, Revision: d.Revision, Digest: digest}, Settled: d.Settled}
-	switch revision.DecideClaim(s.store.Claim(d.Key), claim, true) {
+	switch decision := revision.DecideClaim(s.store.Claim(d.Key), claim, true); decision {
 	case revision.Accept:
 		if sender.Address != "" && !s.refusals.has(refusal{d.Key, claim.Version, true}) {
-			queue.add(offer{entry: sender.ID, address: sender.Address, claim: claim})
+			queue.add(offer{entry: sender.ID, address: sender.Address, claim: claim, confirmedAt: confirmedBy(d, sent)})
 		}
-	case revision.Unchanged:
-		if claim.Settled {
+	case revision.Unchanged, revision.TooOld:
+		if claim.Settled && decision == revision.Unchanged {
 			s.store.Settle(d.Key, claim.Version)
 		}
+		s.confirmations.record(d.Key, confirmedBy(d, sent), peerActor(sender.ID))
 	case revision.Conflict:
-		s.recordConflict(d.Key, claim.Version, "peer "+sender.ID)
+		s.recordConflict(d.Key, claim.Version, peerActor(sender.ID))
 	}
 }
 
 // HandleExchange handles an Exchange call of a peer. It does no I/O: newer documents are fetched
 // afterwards. The error is always nil.
 func (s *Syncer) HandleExchange(_ context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	s.handleMessage(in, "")
+	// The request may have been on its way for any time.
+	s.handleMessage(in, "", time.Time{})
 	// A message with documents and without members is a push. One with neither comes from an entry
 	// that is starting and needs the members.
 	push := len(in.Members) == 0 && len(in.Documents) > 0
@@ -232,9 +238,10 @@
 func (s *Syncer) exchange(ctx context.Context, peer membership.Entry, includeMembers bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
+	began := time.Now()
 	reply, err := s.deps.Peers.Exchange(ctx, peer.Address, s.message(includeMembers, false))
 	if err == nil {
-		s.handleMessage(reply, peer.Address)
+		s.handleMessage(reply, peer.Address, began)
 	}
 	// Another entry may use the address by now.
 	reached := err == nil && reply.Entry == peer.ID
--- a/internal/configsync/offers.go
+++ b/internal/configsync/offers.go
@@ -20,6 +20,8 @@
 	entry   string
 	address string
 	claim   revision.Claim
+	// confirmedAt is the time at which the platform had no newer version, or zero if unknown.
+	confirmedAt time.Time
 }
 
 // offerQueue holds the offers of newer documents of one key.
@@ -113,9 +115,11 @@
 	}
 	switch {
 	case err == nil:
-		s.accept(key, content, origin{actor: "peer " + o.entry, readAt: time.Now(), settled: reply.Settled})
+		if covers(s.accept(key, content, origin{actor: peerActor(o.entry), readAt: time.Now(), settled: reply.Settled})) {
+			s.confirmations.record(key, o.confirmedAt, peerActor(o.entry))
+		}
 	case reply != nil:
-		s.refuseData(key, reply.Value, "peer "+o.entry, err)
+		s.refuseData(key, reply.Value, peerActor(o.entry), err)
 	case ctx.Err() == nil:
 		s.mu.Lock()
 		s.table.RecordFailure(time.Now(), o.entry)
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -104,22 +104,29 @@
 // whether the platform's version of the document has changed.
 func (s *Syncer) readPlatform(ctx context.Context, r *platformReader, watching bool) (changed bool, err error) {
 	var doc platformapi.Document
+	var wait time.Duration
+	began := time.Now()
 	switch {
 	case r.fullRead:
 		doc, err = s.deps.Platform.Get(ctx, r.key)
 		changed = doc.Version != r.lastVersion
 	case watching:
-		doc, changed, err = s.deps.Platform.Watch(ctx, r.key, r.lastVersion, s.cfg.WatchWait)
+		wait = s.cfg.WatchWait
+		doc, changed, err = s.deps.Platform.Watch(ctx, r.key, r.lastVersion, wait)
 	default:
 		doc, changed, err = s.deps.Platform.Watch(ctx, r.key, r.lastVersion, 0)
 	}
+	confirmed := confirmedAt(doc, changed, began, wait)
 	if err == nil && r.key == s.cfg.SettleKey && (s.exceedsSettleOutage(r) || changed && s.registrationsExpired(doc)) {
 		doc, changed, err = s.settle(ctx, r, doc, changed)
 	}
 	if err != nil {
 		return false, err
 	}
-	defer s.correctTargets(r)
+	defer func() {
+		s.correctTargets(r)
+		s.confirmations.record(r.key, confirmed, platformActor)
+	}()
 	if !changed && !r.fullRead {
 		return false, nil
 	}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -31,9 +31,10 @@
 	view  atomic.Pointer[View]
 	// refreshed is set once the startup refresh from peers has finished or a monotonic platform has
 	// answered.
-	refreshed atomic.Bool
-	refusals  refusals
-	transfers transferCache
+	refreshed     atomic.Bool
+	refusals      refusals
+	transfers     transferCache
+	confirmations confirmations
 	// offers holds one queue for each key of Config.Keys.
 	offers map[string]*offerQueue
 	// snapshots is the platform if it can settle target lists, or nil.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,7 +3,9 @@
 import (
 	"expvar"
 	"net/http"
+	"time"
 
+	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -48,6 +50,9 @@
 	HeldBytes, GaveWay expvar.Func
 	// TargetsRevision is the current revision of the target list of relayed services.
 	TargetsRevision expvar.Int
+	// ConfirmedAge returns, by document key, the milliseconds since the platform was last known to have no
+	// newer version. Documents that were never confirmed are missing.
+	ConfirmedAge expvar.Func
 }
 
 // NewMetrics returns metrics with all counters at zero.
@@ -99,6 +104,20 @@
 	vars.Set("violations_total", &m.Violations)
 	vars.Set("held_bytes", m.HeldBytes)
 	vars.Set("gave_way_total", m.GaveWay)
+	vars.Set("confirmed_age_ms", m.ConfirmedAge)
+}
+
+// confirmedAges returns the function of Metrics.ConfirmedAge.
+func confirmedAges(syncer *configsync.Syncer, keys ...string) expvar.Func {
+	return func() any {
+		ages := make(map[string]int64, len(keys))
+		for _, key := range keys {
+			if at := syncer.ConfirmedAt(key); !at.IsZero() {
+				ages[key] = time.Since(at).Milliseconds()
+			}
+		}
+		return ages
+	}
 }
 
 // SilentConnection implements targethttp.Metrics.
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -207,6 +207,7 @@
 		OnListFault:   func(fault configsync.ListFault) { d.metrics.ListFaults.Add(string(fault), 1) },
 		OnChange:      func(*configsync.View) { d.onChange() },
 	})
+	d.metrics.ConfirmedAge = confirmedAges(d.syncer, platformapi.SheetKey, platformapi.TargetsKey)
 }
 
 // seeds returns the seed addresses, except this entry's own, as peers with placeholder ids.
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -47,6 +47,7 @@
 		OnChange:  d.onChange,
 		OnHosts:   d.onHosts,
 	})
+	d.metrics.ConfirmedAge = confirmedAges(d.syncer, platformapi.SheetKey, platformapi.IndexKey)
 }
 
 func checkSheet(s *sheet.Sheet) error {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -63,6 +63,8 @@
 	loadedAt time.Time
 	// changedAt is the time at which a watch last returned changes. Guarded by mu.
 	changedAt time.Time
+	// confirmedAt is the time as of which state includes all changes at the source. Guarded by mu.
+	confirmedAt time.Time
 	// era is the latest era that the source has stated. If it is later than that of state, state is
 	// outdated and must be read in full. Guarded by mu.
 	era uint64
@@ -104,12 +106,13 @@
 	end := f.now().Add(wait)
 	called := false
 	for {
-		if f.version(key) > after {
+		version, confirmed := f.version(key)
+		if version > after {
 			doc, err := f.document(key)
 			return doc, err == nil, err
 		}
 		if called && !f.now().Before(end) {
-			return platformapi.Document{}, false, nil
+			return platformapi.Document{ConfirmedAt: confirmed}, false, nil
 		}
 		// Each call waits for the full duration, so that the watches of all documents stay
 		// coalesced.
@@ -126,29 +129,30 @@
 	return err
 }
 
-// version returns the version of a document, or zero before the first read.
-func (f *Feed) version(key string) uint64 {
+// version returns the version of a document, which is zero before the first read, and the time as of which
+// the source had no newer one.
+func (f *Feed) version(key string) (version uint64, confirmed time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if key == platformapi.SheetKey {
-		return f.sheetVersion
+		return f.sheetVersion, f.confirmedAt
 	}
-	return f.targetsVersion
+	return f.targetsVersion, f.confirmedAt
 }
 
 // document returns the current state of a document.
 func (f *Feed) document(key string) (platformapi.Document, error) {
 	f.mu.Lock()
-	st, sheetVersion, targetsVersion := f.state, f.sheetVersion, f.targetsVersion
+	st, sheetVersion, targetsVersion, confirmed := f.state, f.sheetVersion, f.targetsVersion, f.confirmedAt
 	f.mu.Unlock()
 	if key == platformapi.SheetKey {
-		return platformapi.Document{Key: key, Version: sheetVersion, Value: st.sheet.Value}, st.sheet.Err
+		return platformapi.Document{Key: key, Version: sheetVersion, Value: st.sheet.Value, ConfirmedAt: confirmed}, st.sheet.Err
 	}
 	value, err := json.Marshal(st.targetList())
 	if err != nil {
 		return platformapi.Document{}, status.Wrap(err, status.Internal, "", "encode target list")
 	}
-	return platformapi.Document{Key: key, Version: targetsVersion, Value: value, ReadAt: st.readAt}, nil
+	return platformapi.Document{Key: key, Version: targetsVersion, Value: value, ReadAt: st.readAt, ConfirmedAt: confirmed}, nil
 }
 
 // Correct implements configsync.SnapshotSource.
@@ -227,6 +231,7 @@
 	if err != nil {
 		return err
 	}
+	completed := f.now()
 	changes, err := f.source.Watch(ctx, read.ResumeRevision, 0)
 	f.recordEra(changes.Era)
 	if err != nil {
@@ -255,6 +260,7 @@
 		next.keepFrom(&f.state)
 	}
 	f.replaceState(next)
+	f.confirmedAt = completed
 	event.Uint64("targets", next.targetsRevision).Msg("full state read")
 	return nil
 }
@@ -271,6 +277,7 @@
 		return f.load(ctx)
 	}
 	sleep(ctx, pause)
+	requested := f.now()
 	changes, err := f.source.Watch(ctx, at, wait)
 	f.recordEra(changes.Era)
 	if mustReload(err) {
@@ -288,12 +295,18 @@
 	if changes.Era != f.state.era || f.state.coverage.Revision() != at {
 		return nil // A concurrent load has replaced the state, or the response precedes a restore.
 	}
+	now := f.now()
 	if changes.Changed {
-		f.changedAt = f.now()
+		f.changedAt = now
 	}
 	next := f.state
-	next.apply(changes, f.now())
+	next.apply(changes, now)
 	f.replaceState(next)
+	// The source answers at the latest after the wait; a later answer was held up on the way.
+	if answered := requested.Add(wait); answered.Before(now) {
+		now = answered
+	}
+	f.confirmedAt = now
 	return nil
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -261,5 +261,6 @@
 		is.NoErr(err)
 		is.Equal(list, targetlist.Document{Revision: c.correct, Targets: right})
 	}
-	is.True(f.version(platformapi.TargetsKey) > 1) // A watch returns the list with its new revision.
+	version, _ := f.version(platformapi.TargetsKey)
+	is.True(version > 1) // A watch returns the list with its new revision.
 }
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -35,6 +35,9 @@
 	Value   json.RawMessage `json:"value"`
 	// ReadAt is the time at which the oldest part of Value was read, or zero if unknown. It is not sent.
 	ReadAt time.Time `json:"-"`
+	// ConfirmedAt is a time as of which the platform had no newer version, or zero if unknown. It is set
+	// also if a watch returns no change. It is not sent.
+	ConfirmedAt time.Time `json:"-"`
 }
 
 // HostKind is the kind of process that runs on a host.
