Read the platform when no entry is known to have read it recently

What callers saw: on a site of 68 entries, requests run by a service that the route had left, and 404 for a route that was there, up to 5 s after the change was due; entries that served them could read the platform. Cause: only the watcher of a zone reads the platform. When its path is cut, the next entry by rank takes the role after the call of the one before has failed, 2.3 to 2.8 s each. An entry below several lost ranks waits for all of them, whatever it could read itself. Class: a duty that is passed on by rank after a failure of the holder, with no bound on the sum. Change: who reads is decided by the age of the last confirmation (coordination/confirm). Calls are spread when all entries make them. Target lists and evacuations use the same loop. Entries that cannot read stop calling while peers confirm their documents. The ages in requests are corrected by the time on the way.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -247,6 +247,9 @@
 	return m
 }
 
+// Size returns the number of known entries, this one included.
+func (t *Table) Size() int { return len(t.members) + 1 }
+
 // Expire removes the entries that no source lists and whose latest news is older than the retention.
 func (t *Table) Expire(now time.Time) {
 	kept := t.insertionOrder[:0]
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/balsamstall/balsamstall/coordination/confirm"
 	"github.com/balsamstall/balsamstall/coordination/membership"
 	"github.com/balsamstall/balsamstall/coordination/revision"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -81,6 +82,9 @@
 	// YieldAfter is the duration of failing calls to the platform after which a watcher yields the
 	// role for YieldFor. If YieldFor is zero, the role is kept.
 	YieldAfter, YieldFor time.Duration
+	// Confirm decides when an entry that is not a watcher reads the platform because its documents have not
+	// been confirmed recently. The zero value means never.
+	Confirm confirm.Settings
 	// SettleKey is a document whose items may expire at the platform during an outage and return
 	// shortly after it. After an outage longer than SettleOutage the document is accepted only
 	// SettleTime after the platform recovers. Empty means none.
@@ -197,6 +201,9 @@
 	// OnReadFailure is called for each failed call to the platform with the key of the document,
 	// or with HostListKey. It must not block. It may be nil.
 	OnReadFailure func(key string)
+	// OnOverdueRead is called with the key of the document before each call to the platform that Config.Confirm
+	// demands. It must not block. It may be nil.
+	OnOverdueRead func(key string)
 	// OnRefused is called with the key of the document for each version that is refused as invalid. It must
 	// not block. It may be nil.
 	OnRefused func(key string)
--- a/internal/configsync/confirmation.go
+++ b/internal/configsync/confirmation.go
@@ -46,6 +46,13 @@
 	return c.byKey[key]
 }
 
+// forget removes all confirmations.
+func (c *confirmations) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.byKey)
+}
+
 // ConfirmedAt returns the latest time at which the platform is known to have had no newer version of a
 // document than the current one, or zero if none is known.
 func (s *Syncer) ConfirmedAt(key string) time.Time { return s.confirmations.latest(key).at }
@@ -78,9 +85,9 @@
 }
 
 // confirmedBy returns the time of a peer's confirmation in a message that was sent no earlier than
-// sent, or zero if it has none or sent is zero.
+// sent, or zero if it has none.
 func confirmedBy(d *peerpb.DocumentInfo, sent time.Time) time.Time {
-	if d.ConfirmedAgeMs == nil || sent.IsZero() {
+	if d.ConfirmedAgeMs == nil {
 		return time.Time{}
 	}
 	return sent.Add(-time.Duration(d.GetConfirmedAgeMs()) * time.Millisecond)
@@ -91,3 +98,43 @@
 func covers(decision revision.Decision) bool {
 	return decision == revision.Accept || decision == revision.Unchanged || decision == revision.TooOld
 }
+
+// readDue returns the time at which an entry that is not a watcher reads the document: that of the next poll,
+// or the one at which the last confirmation is too old. overdue is set in the second case.
+func (s *Syncer) readDue(r *platformReader) (due time.Time, overdue bool) {
+	s.mu.Lock()
+	age := s.cfg.Confirm.ReadAge(s.table.Size(), s.position)
+	s.mu.Unlock()
+	if age == 0 {
+		return r.nextPoll, false
+	}
+	due = s.ConfirmedAt(r.key).Add(age)
+	if due.Before(r.nextRetry) {
+		due = r.nextRetry
+	}
+	if due.After(r.nextPoll) {
+		return r.nextPoll, false
+	}
+	return due, true
+}
+
+// forgetFailures forgets the failed calls of an entry that is not a watcher if another one has read the
+// platform since: the platform is available, and its documents come from that entry.
+func (s *Syncer) forgetFailures(r *platformReader) {
+	if r.failures > 0 && s.ConfirmedAt(r.key).After(r.failingSince) {
+		r.failures, r.failingSince = 0, time.Time{}
+	}
+}
+
+// reportOverdue reports that an entry that is not a watcher reads the platform.
+func (s *Syncer) reportOverdue(r *platformReader) {
+	if s.deps.OnOverdueRead != nil {
+		s.deps.OnOverdueRead(r.key)
+	}
+	if r.failures > 0 {
+		return // Logged before the first of the failed calls.
+	}
+	c := s.confirmations.latest(r.key)
+	s.deps.Log.Info().Str("key", r.key).Dur("confirmed_age", time.Since(c.at)).Str("source", c.source).
+		Msg("no entry is known to have read the platform recently; reading it")
+}
--- a/internal/configsync/confirmation_test.go
+++ b/internal/configsync/confirmation_test.go
@@ -1,11 +1,14 @@
 package configsync
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/balsamstall/balsamstall/coordination/confirm"
+	"github.com/balsamstall/balsamstall/coordination/membership"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -24,7 +27,7 @@
 			confirmed := 0
 			for _, e := range fleet {
 				if at := e.ConfirmedAt(platformapi.SheetKey); at.After(published) {
-					is.True(e.revision() >= uint64(revision))
+					is.True(e.store.Version(platformapi.SheetKey).Revision >= uint64(revision))
 					confirmed++
 				}
 			}
@@ -32,3 +35,39 @@
 		})
 	}
 }
+
+// Guards against an entry that reaches the platform and does not read it while the watchers of its zone wait for answers.
+func TestChangeIsInForceWhileNoWatcherReachesThePlatform(t *testing.T) {
+	env := newTestEnv()
+	env.pollInterval = time.Hour
+	env.confirm = confirm.Settings{MaxAge: 300 * time.Millisecond}
+	env.publish(platformapi.IndexKey, `{"revision": 1}`)
+	env.publish(platformapi.SheetKey, sheetJSON(1, "a"))
+	ids := []string{"a1", "b1", "c1", "d1", "e1"}
+	var lowest *testEntry
+	var fleet []*testEntry
+	for _, id := range ids {
+		e := env.startEntry(t, id, ids...)
+		fleet = append(fleet, e)
+		if lowest == nil || membership.Score("zone-1", id) < membership.Score("zone-1", lowest.id) {
+			lowest = e
+		}
+	}
+	eventually(t, "every entry has the sheet", func() bool {
+		for _, e := range fleet {
+			if e.revision() != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	env.mu.Lock()
+	for _, id := range ids {
+		env.platformHangs[id] = id != lowest.id
+	}
+	env.mu.Unlock()
+	for revision := 2; revision <= 4; revision++ {
+		env.publish(platformapi.SheetKey, sheetJSON(revision, "b"))
+		eventually(t, fmt.Sprintf("version %d is in force", revision), func() bool { return lowest.revision() == uint64(revision) })
+	}
+}
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -142,9 +142,13 @@
 	if sender.Address == "" {
 		sender.Address = address
 	}
+	uptime := time.Duration(m.GetUptimeMs()) * time.Millisecond
 	s.mu.Lock()
 	s.table.RecordAlive(now, now, sender)
-	s.recordPeerStart(now, time.Duration(m.GetUptimeMs())*time.Millisecond)
+	s.recordPeerStart(now, uptime)
+	if delay := s.delays.Estimate(now, sender.ID, sender.Incarnation, uptime); sent.Before(now.Add(-delay)) {
+		sent = now.Add(-delay)
+	}
 	if m.GetCutOff() && sender.Zone == s.cfg.Zone {
 		s.zonePartitionedAt = now
 	}
@@ -221,7 +225,6 @@
 // HandleExchange handles an Exchange call of a peer. It does no I/O: newer documents are fetched
 // afterwards. The error is always nil.
 func (s *Syncer) HandleExchange(_ context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	// The request may have been on its way for any time.
 	s.handleMessage(in, "", time.Time{})
 	// A message with documents and without members is a push. One with neither comes from an entry
 	// that is starting and needs the members.
@@ -338,6 +341,8 @@
 func (s *Syncer) Refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.StartupTimeout)
 	defer cancel()
+	// After a pause the ages of the confirmations are unknown.
+	s.confirmations.forget()
 	s.mu.Lock()
 	peers := s.table.FanoutPeers(time.Now(), s.rng, refreshPeers)
 	s.mu.Unlock()
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/balsamstall/balsamstall/coordination/confirm"
 	"github.com/balsamstall/balsamstall/protocol/ids"
 	"github.com/balsamstall/balsamstall/protocol/index"
 	"github.com/balsamstall/balsamstall/protocol/peerpb"
@@ -34,6 +35,7 @@
 	documents        map[string]platformapi.Document
 	published        chan struct{} // Closed and replaced on every publication.
 	platformErrors   map[string]*status.Error
+	platformHangs    map[string]bool                            // Entries whose calls to the platform are not answered.
 	staleDocuments   map[string]map[string]platformapi.Document // The documents that entries with a stale view of the platform read.
 	entries          map[string]*testEntry                      // By address, which is the id.
 	partitioned      map[[2]string]bool
@@ -41,11 +43,13 @@
 	exchangeInterval time.Duration // Config.ExchangeInterval of the entries.
 	memberExpiry     time.Duration // Config.MemberExpiry of the entries.
 	yieldFor         time.Duration // Config.YieldFor of the entries.
-	keys             []string      // Config.Keys of the entries.
+	pollInterval     time.Duration // Config.PollInterval of the entries.
+	confirm          confirm.Settings
+	keys             []string // Config.Keys of the entries.
 }
 
 func newTestEnv() *testEnv {
-	return &testEnv{documents: map[string]platformapi.Document{}, published: make(chan struct{}), platformErrors: map[string]*status.Error{},
+	return &testEnv{documents: map[string]platformapi.Document{}, published: make(chan struct{}), platformErrors: map[string]*status.Error{}, platformHangs: map[string]bool{}, pollInterval: 50 * time.Millisecond,
 		staleDocuments: map[string]map[string]platformapi.Document{}, entries: map[string]*testEntry{}, partitioned: map[[2]string]bool{}, exchangeInterval: 5 * time.Millisecond, memberExpiry: 200 * time.Millisecond}
 }
 
@@ -88,9 +92,15 @@
 	entry string
 }
 
-func (c entryClient) Get(_ context.Context, key string) (platformapi.Document, error) {
+func (c entryClient) Get(ctx context.Context, key string) (platformapi.Document, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.platformHangs[c.entry] {
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		return platformapi.Document{}, status.New(status.Canceled, "", "no answer")
+	}
 	if err := c.platformErrors[c.entry]; err != nil {
 		return platformapi.Document{}, err
 	}
@@ -220,8 +230,8 @@
 func (env *testEnv) startEntry(t *testing.T, id string, peers ...string) *testEntry {
 	t.Helper()
 	cfg := Config{Entry: id, Zone: "zone-" + id[len(id)-1:], Address: id, Incarnation: ids.NewIncarnation(),
-		ExchangeInterval: env.exchangeInterval, PollInterval: 50 * time.Millisecond, HostInterval: 50 * time.Millisecond,
-		WatchWait: 100 * time.Millisecond, MemberExpiry: env.memberExpiry, YieldFor: env.yieldFor, Keys: env.keys}
+		ExchangeInterval: env.exchangeInterval, PollInterval: env.pollInterval, HostInterval: 50 * time.Millisecond,
+		WatchWait: 100 * time.Millisecond, MemberExpiry: env.memberExpiry, YieldFor: env.yieldFor, Keys: env.keys, Confirm: env.confirm}
 	for _, p := range peers {
 		if p != id {
 			cfg.Peers = append(cfg.Peers, Peer{Entry: p, Zone: "zone-" + p[len(p)-1:], Address: p})
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -53,6 +53,8 @@
 	fullRead bool
 	failures int
 	nextPoll time.Time
+	// nextRetry is the earliest time of an overdue read after a failed one.
+	nextRetry time.Time
 	// nextFullRead is the time at which the next full read is due.
 	nextFullRead time.Time
 	// failingSince is the start time of the first of the latest consecutive failed calls, or zero
@@ -62,17 +64,23 @@
 	compared revision.Version
 }
 
-// platformLoop watches a key while this entry is a watcher, and polls it otherwise. A poll is a
-// watch that does not wait, so that an unchanged document is not transferred.
+// platformLoop watches a key while this entry is a watcher, and polls it otherwise, earlier if the document
+// has not been confirmed recently. A poll is a watch that does not wait, so that an unchanged document is not
+// transferred.
 func (s *Syncer) platformLoop(ctx context.Context, key string) {
 	r := &platformReader{key: key, fullRead: true}
 	for ctx.Err() == nil {
 		watching := s.IsWatcher()
 		r.fullRead = r.fullRead || time.Now().After(r.nextFullRead)
-		if !r.fullRead && !watching && time.Now().Before(r.nextPoll) {
-			sleep(ctx, min(time.Until(r.nextPoll), s.cfg.ExchangeInterval))
+		due, overdue := s.readDue(r)
+		if !r.fullRead && !watching && time.Now().Before(due) {
+			s.forgetFailures(r)
+			sleep(ctx, min(time.Until(due), s.cfg.ExchangeInterval))
 			continue
 		}
+		if !r.fullRead && !watching && overdue {
+			s.reportOverdue(r)
+		}
 		began := time.Now()
 		changed, err := s.readPlatform(ctx, r, watching)
 		if err != nil {
@@ -85,7 +93,7 @@
 			}
 			// The platform may recover with an earlier state.
 			r.fullRead = r.fullRead || watching && !s.cfg.MonotonicPlatform
-			s.waitBackoff(ctx, r, err)
+			s.waitBackoff(ctx, r, err, !r.fullRead && !watching && overdue)
 			continue
 		}
 		if r.failures > 0 {
@@ -150,18 +158,30 @@
 	return changed, nil
 }
 
-// waitBackoff reports a failed call and waits for its backoff.
-func (s *Syncer) waitBackoff(ctx context.Context, r *platformReader, err error) {
+// waitBackoff reports a failed call and waits for its backoff. After an overdue read it only schedules the next
+// one, because a peer may confirm the document before.
+func (s *Syncer) waitBackoff(ctx context.Context, r *platformReader, err error, overdue bool) {
 	s.mu.Lock()
 	pause := backoff(s.rng, r.failures, status.From(err).RetryAfter, s.cfg.MaxBackoff)
+	if overdue {
+		pause = max(pause, s.cfg.Confirm.RetryPause(s.table.Size(), s.rng.Float64()))
+	}
 	s.mu.Unlock()
-	r.nextPoll = time.Now().Add(pause)
+	r.nextRetry = time.Now().Add(pause)
+	switch {
+	case s.cfg.Confirm.MaxAge == 0:
+		r.nextPoll = r.nextRetry
+	case r.nextPoll.Before(r.nextRetry):
+		r.nextPoll = time.Now().Add(s.pollPause()) // An overdue read replaces the poll.
+	}
 	if ctx.Err() != nil {
 		return
 	}
 	s.reportReadFailure(r.key)
 	s.deps.Log.Warn().Err(err).Str("key", r.key).Int("failures", r.failures).Dur("pause", pause).Msg("platform read failed")
-	sleep(ctx, pause)
+	if !overdue {
+		sleep(ctx, pause)
+	}
 }
 
 // reportReadFailure calls OnReadFailure for a failed call to the platform.
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/confirm"
 	"github.com/balsamstall/balsamstall/coordination/membership"
 	"github.com/balsamstall/balsamstall/internal/configsync/documents"
 	"github.com/balsamstall/balsamstall/protocol/index"
@@ -49,6 +51,9 @@
 	peerSignal chan struct{}
 	zoneSignal chan struct{}
 
+	// position is the place of this entry among those that read the platform when no document is confirmed, from 0 to 1.
+	position float64
+
 	// viewMu serializes updates of view.
 	viewMu sync.Mutex
 
@@ -65,6 +70,8 @@
 	// is the time at which an entry of the same zone last reported that it is partitioned.
 	partitioned       bool
 	zonePartitionedAt time.Time
+	// delays estimates the delays of messages from other entries.
+	delays confirm.Delays
 	// oldestPeerStart is the earliest known start time of another entry, or zero if none is known.
 	oldestPeerStart time.Time
 }
@@ -88,8 +95,9 @@
 			Interval:        cfg.ExchangeInterval,
 			Expiry:          cfg.MemberExpiry,
 		}),
-		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		started: time.Now(),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		position: float64(membership.Score(cfg.Zone, cfg.Entry)) / math.MaxUint64,
+		started:  time.Now(),
 	}
 	for _, key := range cfg.Keys {
 		s.offers[key] = &offerQueue{signal: make(chan struct{}, 1)}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -34,6 +34,9 @@
 	ReplyMismatches expvar.Int
 	// PlatformFailures counts failed calls to the platform by document key.
 	PlatformFailures expvar.Map
+	// OverdueReads counts, by document key, reads of entries that are not watchers because no entry was known
+	// to have read the platform recently.
+	OverdueReads expvar.Map
 	// DocumentsRefused counts invalid versions of documents by document key. The current version stays in
 	// force.
 	DocumentsRefused expvar.Map
@@ -94,6 +97,7 @@
 	vars.Set("silent_connections_total", &m.SilentConnections)
 	vars.Set("reply_mismatches_total", &m.ReplyMismatches)
 	vars.Set("platform_failures_total", &m.PlatformFailures)
+	vars.Set("overdue_reads_total", &m.OverdueReads)
 	vars.Set("documents_refused_total", &m.DocumentsRefused)
 	vars.Set("target_list_faults_total", &m.ListFaults)
 	vars.Set("sheet_revision", &m.SheetRevision)
--- a/internal/entry/sync.go
+++ b/internal/entry/sync.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/balsamstall/balsamstall/coordination/confirm"
 	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/index"
@@ -10,6 +11,10 @@
 	"github.com/balsamstall/balsamstall/protocol/sheet"
 )
 
+// unconfirmedReadAge is the age of the last confirmation of a document at which an entry that does not watch
+// the platform reads it. It exceeds the time of a watch and of the exchanges that pass its result on.
+const unconfirmedReadAge = 3 * configsync.DefaultWatchWait / 2
+
 // wireSync creates the syncer, which supplies the engine with documents and the host list and
 // exchanges facts with peers.
 func (d *Daemon) wireSync() {
@@ -23,6 +28,7 @@
 		PushFanout:       int(set.PushFanout),
 		ExchangeInterval: time.Duration(set.ExchangeIntervalMS) * time.Millisecond,
 		PollInterval:     time.Duration(set.PollIntervalMS) * time.Millisecond,
+		Confirm:          confirm.Settings{MaxAge: unconfirmedReadAge},
 	}
 	if cfg.PushFanout == 0 {
 		cfg.PushFanout = -1 // Zero would select the default.
@@ -43,9 +49,10 @@
 		OnReadFailure: func(key string) {
 			d.metrics.PlatformFailures.Add(key, 1)
 		},
-		OnRefused: func(key string) { d.metrics.DocumentsRefused.Add(key, 1) },
-		OnChange:  d.onChange,
-		OnHosts:   d.onHosts,
+		OnOverdueRead: func(key string) { d.metrics.OverdueReads.Add(key, 1) },
+		OnRefused:     func(key string) { d.metrics.DocumentsRefused.Add(key, 1) },
+		OnChange:      d.onChange,
+		OnHosts:       d.onHosts,
 	})
 	d.metrics.ConfirmedAge = confirmedAges(d.syncer, platformapi.SheetKey, platformapi.IndexKey)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -111,7 +111,8 @@
 			doc, err := f.document(key)
 			return doc, err == nil, err
 		}
-		if called && !f.now().Before(end) {
+		now := f.now()
+		if called && !now.Before(end) || wait <= 0 && now.Sub(confirmed) < minChangeInterval {
 			return platformapi.Document{ConfirmedAt: confirmed}, false, nil
 		}
 		// Each call waits for the full duration, so that the watches of all documents stay
--- a/internal/settings/relay.go
+++ b/internal/settings/relay.go
@@ -41,6 +41,12 @@
 	RepeatRatio   float64 `json:"repeat_ratio"`
 	RepeatMinimum float64 `json:"repeat_minimum"`
 	RepeatWindowS float64 `json:"repeat_window_s"`
+	// ChangeBoundsMS lists the times within which changes at the store must be in force on every entry, in
+	// milliseconds. An entry reads the store itself before its documents are unconfirmed for as long as the
+	// shortest of them. The default is 3,000.
+	ChangeBoundsMS []int64 `json:"change_bounds_ms"`
+	// StoreCallsPerS is the rate of calls that the store accepts from all entries. The default is 2,000.
+	StoreCallsPerS float64 `json:"store_calls_per_s"`
 	// WatchersPerZone is the number of entries per zone that watch the store. The default is 2.
 	WatchersPerZone int64 `json:"watchers_per_zone"`
 	// ExchangeIntervalMS is the interval between exchanges with other entries in milliseconds. The
@@ -78,6 +84,8 @@
 		RepeatRatio:           0.2,
 		RepeatMinimum:         50,
 		RepeatWindowS:         10,
+		ChangeBoundsMS:        []int64{3000},
+		StoreCallsPerS:        2000,
 		WatchersPerZone:       2,
 		ExchangeIntervalMS:    500,
 		Cores:                 1,
@@ -114,6 +122,10 @@
 	c.Ratio("repeat_ratio", r.RepeatRatio)
 	c.Range("repeat_minimum", int64(r.RepeatMinimum), 0, 1_000_000)
 	c.Range("repeat_window_s", int64(r.RepeatWindowS), 1, 3_600)
+	for i, bound := range r.ChangeBoundsMS {
+		c.Range(fmt.Sprintf("change_bounds_ms[%d]", i), bound, 100, 3_600_000)
+	}
+	c.Range("store_calls_per_s", int64(r.StoreCallsPerS), 1, 1_000_000)
 	c.Range("watchers_per_zone", r.WatchersPerZone, 1, 100)
 	c.Range("exchange_interval_ms", r.ExchangeIntervalMS, 10, 60_000)
 	if !(r.Cores >= 0.001 && r.Cores <= 1_000) {
