--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -5,6 +5,7 @@
 package crowd
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -227,30 +228,56 @@
 	t.Cleanup(server.Close)
 	store := platformtest.NewStore()
 	platformtest.PublishSingle(store, server, bodyBytes)
+	s := startPlatformEntry(t, serveStore(t, store), entryOptions{id: "entry-1", memoryMB: memoryMB, files: files})
+	s.connections, s.bodyBytes = 450, bodyBytes
+	return s
+}
+
+// serveStore serves the store and returns its address.
+func serveStore(t *testing.T, store *platformtest.Store) string {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	storeServer := &http.Server{Handler: store}
-	go func() { _ = storeServer.Serve(lis) }()
-	t.Cleanup(func() { storeServer.Close() })
+	server := &http.Server{Handler: store}
+	go func() { _ = server.Serve(lis) }()
+	t.Cleanup(func() { server.Close() })
+	return lis.Addr().String()
+}
+
+// entryOptions are settings of an entry that relays requests.
+type entryOptions struct {
+	id              string
+	memoryMB, files int
+	// peerAddress is where it serves other entries, seed the peer address of one. Empty selects a free
+	// address and none.
+	peerAddress, seed string
+	// more holds further settings, each after a comma.
+	more string
+}
+
+// startPlatformEntry starts an entry that relays requests.
+func startPlatformEntry(t *testing.T, store string, opt entryOptions) *subject {
 	callers := testfleet.FreeAddress(t)
+	if opt.peerAddress == "" {
+		opt.peerAddress = testfleet.FreeAddress(t)
+	}
 	file := filepath.Join(t.TempDir(), "entry.json")
-	settings := fmt.Sprintf(`{"id": "entry-1", "zone": "z", "caller_address": %q, "ready_address": %q, "peer_address": %q, "platform_address": %q,
-		"peer_key": "peer-key-of-the-test-0123456789abcd", "memory_mb": %d}`,
-		callers, testfleet.FreeAddress(t), testfleet.FreeAddress(t), lis.Addr(), memoryMB)
+	settings := fmt.Sprintf(`{"id": %q, "zone": "z", "caller_address": %q, "ready_address": %q, "peer_address": %q, "platform_address": %q,
+		"peer_key": "peer-key-of-the-test-0123456789abcd", "memory_mb": %d, "seeds": [%q]%s}`,
+		opt.id, callers, testfleet.FreeAddress(t), opt.peerAddress, store, opt.memoryMB, cmp.Or(opt.seed, opt.peerAddress), opt.more)
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(files), testfleet.Binary(), "--config", file, "--platform")
+	cmd := exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(opt.files), testfleet.Binary(), "--config", file, "--platform")
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
 	head := "POST " + platformtest.PathPrefix + " HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n"
 	client := &http.Client{Timeout: answerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	return &subject{pid: cmd.Process.Pid, address: callers, head: head, connections: 450, bodyBytes: bodyBytes,
-		maxResidentMB: memoryMB, maxFiles: (files-reservedFiles)/2 + reservedFiles,
+	return &subject{pid: cmd.Process.Pid, address: callers, head: head,
+		maxResidentMB: opt.memoryMB, maxFiles: (opt.files-reservedFiles)/2 + reservedFiles,
 		ask: func() bool {
 			req, _ := http.NewRequest(http.MethodPost, "http://"+callers+platformtest.PathPrefix, strings.NewReader("an ordinary request"))
 			req.Host = platformtest.Host
