--- a/cmd/balsam-entry/main.go
+++ b/cmd/balsam-entry/main.go
@@ -28,7 +28,9 @@
 type arguments struct {
 	Config   string `required:"" help:"Settings file (JSON)." type:"path" env:"BALSAMSTALL_NODE_FILE"`
 	Platform bool   `help:"Relay the requests of the users' platform. The settings are those of a relay."`
-	Check    bool   `help:"Check the settings file and exit."`
+	// Set is separated by repetition, because values may contain commas.
+	Set   []string `help:"Replace a setting; may be repeated." placeholder:"FIELD=JSON" sep:"none"`
+	Check bool     `help:"Check the settings file and exit."`
 }
 
 const description = `Serves callers of the query tier.
@@ -48,7 +50,7 @@
 		set := settings.NewRelay()
 		out := newLogWriter(os.Stdout)
 		log := loadSettings(args, set, &set.LogLevel, out)
-		err := relayPlatform(args.Config, set, log)
+		err := relayPlatform(args, set, log)
 		out.Close()
 		if err != nil {
 			exitWith(exitFailed, err)
@@ -70,7 +72,7 @@
 // loadSettings loads the settings into set and returns the logger. With --check, and if the settings
 // are invalid, it exits.
 func loadSettings(args arguments, set settings.Checker, level *string, out io.Writer) zerolog.Logger {
-	if err := settings.Load(args.Config, set); err != nil {
+	if err := settings.Load(args.Config, set, args.Set...); err != nil {
 		exitWith(exitUsage, err)
 	}
 	if args.Check {
--- a/cmd/balsam-entry/platform.go
+++ b/cmd/balsam-entry/platform.go
@@ -24,9 +24,9 @@
 // is available.
 const gcPercent = 50
 
-// relayPlatform relays the requests of the users' platform until the process is stopped. path is the
-// settings file, whose seeds are reloaded after SIGHUP and when the file changes.
-func relayPlatform(path string, set *settings.Relay, log zerolog.Logger) error {
+// relayPlatform relays the requests of the users' platform until the process is stopped. The seeds in the
+// settings file are reloaded after SIGHUP and when the file changes.
+func relayPlatform(args arguments, set *settings.Relay, log zerolog.Logger) error {
 	debug.SetGCPercent(gcPercent)
 	limitMemory(set.MemoryMB)
 	client, err := store.New(set.PlatformAddress, log)
@@ -49,5 +49,5 @@
 	if err != nil {
 		return err
 	}
-	return daemon.Run(path)
+	return daemon.Run(args.Config, args.Set...)
 }
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -285,14 +285,14 @@
 }
 
 // Run serves until SIGTERM or SIGINT, then stops gracefully. It reloads the settings file at path
-// when the file changes.
-func (d *RelayDaemon) Run(path string) error {
+// when the file changes; the overrides apply to it as in settings.Load.
+func (d *RelayDaemon) Run(path string, overrides ...string) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	var background sync.WaitGroup
 	background.Go(func() { d.syncer.Run(ctx) })
 	background.Go(func() { d.core.WatchPauses(ctx) })
 	background.Go(func() { d.maintain(ctx) })
-	background.Go(func() { d.watchSettings(ctx, path) })
+	background.Go(func() { d.watchSettings(ctx, path, overrides) })
 	d.metrics.Publish()
 	d.relayMetrics.Publish()
 	d.audit.Record(time.Now(), audit.Started, d.self.Entry, "incarnation "+d.self.Incarnation.String())
--- a/internal/entry/reload.go
+++ b/internal/entry/reload.go
@@ -19,7 +19,7 @@
 
 // watchSettings reloads the settings file after SIGHUP and when its content has changed, until ctx
 // ends. A file with an invalid setting is rejected as a whole.
-func (d *RelayDaemon) watchSettings(ctx context.Context, path string) {
+func (d *RelayDaemon) watchSettings(ctx context.Context, path string, overrides []string) {
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
 	defer signal.Stop(sighup)
@@ -47,14 +47,14 @@
 			continue
 		}
 		lastData = data
-		d.reload(path)
+		d.reload(path, overrides)
 	}
 }
 
 // reload applies the settings of the file that can change at run time, which are the seeds.
-func (d *RelayDaemon) reload(path string) {
+func (d *RelayDaemon) reload(path string, overrides []string) {
 	next := settings.NewRelay()
-	if err := settings.Load(path, next); err != nil {
+	if err := settings.Load(path, next, overrides...); err != nil {
 		d.audit.Record(time.Now(), audit.SettingsRefused, d.self.Entry, err.Error())
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,8 +51,9 @@
 	Check() []Fault
 }
 
-// Load decodes the file at path into dst and checks the values. Every error is an *Error.
-func Load(path string, dst Checker) error {
+// Load decodes the file at path into dst, applies the overrides and checks the values. An override replaces
+// one field and has the form FIELD=JSON. Every error is an *Error.
+func Load(path string, dst Checker, overrides ...string) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return &Error{File: path, Faults: []Fault{{Value: "none", Allowed: "a readable file: " + err.Error()}}}
@@ -66,6 +67,16 @@
 	if err := decode(data, dst); err != nil {
 		return &Error{File: path, Faults: []Fault{decodeFault(data, err)}}
 	}
+	for _, override := range overrides {
+		field, value, _ := strings.Cut(override, "=")
+		name, err := json.Marshal(field)
+		if err == nil {
+			err = decode(fmt.Appendf(nil, "{%s:%s}", name, value), dst)
+		}
+		if err != nil {
+			return &Error{File: path, Faults: []Fault{{Field: field, Value: "override " + override, Allowed: "FIELD=JSON of a known field: " + err.Error()}}}
+		}
+	}
 	if faults := dst.Check(); len(faults) > 0 {
 		return &Error{File: path, Faults: faults}
 	}
