Share the body and the head of a request among its attempts

Cause: each attempt of each shard, hedges included, held a copy of the body that was encoded before it had a connection, and a second one while it was encoded; the fingerprint of a request copied the body three more times. The budget of held bytes counts two. Class: bytes that are counted where they arrive and multiplied where they are used. Change: the request line and the caller's fields are encoded once for each request, an attempt adds its own two fields, and the body is written as received. The fingerprint reads the body in place; its value is the same. Conclusion: a request needs its body once, whatever the number of shards.

--- a/coordination/quarantine/fingerprint.go
+++ b/coordination/quarantine/fingerprint.go
@@ -41,15 +41,20 @@
 	return &Keyer{key: h.Sum(nil)}
 }
 
-// Fingerprint returns the fingerprint of a request.
-func (k *Keyer) Fingerprint(workspace, service, query string) Fingerprint {
+// Fingerprint returns the fingerprint of a request whose query is given in two parts. It does not copy the
+// second one, which may be large.
+func (k *Keyer) Fingerprint(workspace, service, query string, body []byte) Fingerprint {
 	h := hmac.New(sha256.New, k.key)
-	for _, field := range []string{workspace, service, query} {
+	write := func(field string, rest []byte) {
 		// The length prefix keeps adjacent fields apart.
 		var length [8]byte
-		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+		binary.BigEndian.PutUint64(length[:], uint64(len(field)+len(rest)))
 		h.Write(length[:])
 		h.Write([]byte(field))
+		h.Write(rest)
 	}
+	write(workspace, nil)
+	write(service, nil)
+	write(query, body)
 	return Fingerprint(h.Sum(nil)[:FingerprintSize])
 }
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -150,9 +150,9 @@
 func TestFingerprintIsKeyedAndKeepsFieldsApart(t *testing.T) {
 	is := is.New(t)
 	k := quarantine.NewKeyer([]byte("key"))
-	is.Equal(k.Fingerprint("a", "b", "c"), k.Fingerprint("a", "b", "c"))
-	is.True(k.Fingerprint("ab", "", "c") != k.Fingerprint("a", "b", "c"))
-	is.True(quarantine.NewKeyer([]byte("other")).Fingerprint("a", "b", "c") != k.Fingerprint("a", "b", "c"))
+	is.Equal(k.Fingerprint("a", "b", "c", nil), k.Fingerprint("a", "b", "c", nil))
+	is.True(k.Fingerprint("ab", "", "c", nil) != k.Fingerprint("a", "b", "c", nil))
+	is.True(quarantine.NewKeyer([]byte("other")).Fingerprint("a", "b", "c", nil) != k.Fingerprint("a", "b", "c", nil))
 	_, err := quarantine.ParseFingerprint(make([]byte, 15))
 	is.Equal(status.CodeOf(err), status.InvalidArgument)
 }
@@ -170,7 +170,7 @@
 }
 
 func ExampleDetector() {
-	fp := quarantine.NewKeyer([]byte("key")).Fingerprint("toolroom-7", "quote-desk-1", "clamp")
+	fp := quarantine.NewKeyer([]byte("key")).Fingerprint("toolroom-7", "quote-desk-1", "clamp", nil)
 	d := quarantine.New(quarantine.DefaultSettings())
 	d.RecordCrash(fp, quarantine.Run{Target: "t1", Isolated: false}, 0)
 	fmt.Println(d.Decide(fp, time.Second))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -194,13 +194,13 @@
 // WatchPauses detects pauses of the process until ctx ends.
 func (e *Engine) WatchPauses(ctx context.Context) { e.pause.run(ctx) }
 
-// Fingerprint returns the fingerprint that equal requests share. It is zero when the crash guard
-// is off.
-func (e *Engine) Fingerprint(workspace, service, query string) quarantine.Fingerprint {
+// Fingerprint returns the fingerprint that equal requests share. The query is given in two parts. It is zero
+// when the crash guard is off.
+func (e *Engine) Fingerprint(workspace, service, query string, body []byte) quarantine.Fingerprint {
 	if e.guard == nil {
 		return quarantine.Fingerprint{}
 	}
-	return e.guard.keyer.Fingerprint(workspace, service, query)
+	return e.guard.keyer.Fingerprint(workspace, service, query, body)
 }
 
 // CrashFacts returns at most limit facts about requests that crash targets, for sending to peers.
--- a/internal/engine/failing_test.go
+++ b/internal/engine/failing_test.go
@@ -58,7 +58,7 @@
 func (e *testEntry) request(content string, reply func(ctx context.Context, target string) error) (*engine.Request, *testWork) {
 	w := &testWork{shards: [][]string{testTargets}, versions: 1, reply: reply}
 	return &engine.Request{ID: content, Service: "s", Arrival: time.Now(), Deadline: time.Now().Add(time.Second), SkipAdmission: true, Priority: 1,
-		Fingerprint: e.Fingerprint("w", "s", content), Groups: []string{"g"}, GroupTargets: [][]string{testTargets}, Work: w}, w
+		Fingerprint: e.Fingerprint("w", "s", content, nil), Groups: []string{"g"}, GroupTargets: [][]string{testTargets}, Work: w}, w
 }
 
 // testWork implements engine.Work.
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -47,7 +47,7 @@
 		},
 		Arrival:     req.arrival,
 		Deadline:    req.deadline,
-		Fingerprint: e.core.Fingerprint(req.caller.Workspace, svc.Name, req.search.Query),
+		Fingerprint: e.core.Fingerprint(req.caller.Workspace, svc.Name, req.search.Query, nil),
 		Work:        w,
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,10 +32,12 @@
 // TargetClient sends attempts to targets. platform/backend implements it.
 type TargetClient interface {
 	engine.Connections
+	// Encode prepares a request for its attempts.
+	Encode(req *relayapi.Request) *relayapi.EncodedRequest
 	// Send sends one attempt, which may take at most the duration left. Every error is a
 	// *status.Error whose outcome is NotRun only if the attempt provably did not run. onReply is
 	// called with the reply before its connection serves another attempt.
-	Send(ctx context.Context, target string, req *relayapi.Request, left time.Duration, opt targethttp.Options, onReply func(*relayapi.Reply)) (*relayapi.Reply, error)
+	Send(ctx context.Context, target string, req *relayapi.EncodedRequest, left time.Duration, opt targethttp.Options, onReply func(*relayapi.Reply)) (*relayapi.Reply, error)
 	// Configure replaces the targets. share returns the number of connections that this entry may
 	// hold to a target.
 	Configure(targets []sheet.Target, share func(sheet.Target) int)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -132,7 +132,7 @@
 // run runs a request on this entry.
 func (r *Relay) run(ctx context.Context, req *relayapi.Request, p *plan, route *route) *relayapi.Answer {
 	engineReq := newEngineRequest(req, p, route)
-	engineReq.Fingerprint = r.cfg.Engine.Fingerprint(route.relay.Host, route.service.Name, req.Method+" "+req.Target+"\n"+string(req.Body))
+	engineReq.Fingerprint = r.cfg.Engine.Fingerprint(route.relay.Host, route.service.Name, req.Method+" "+req.Target+"\n", req.Body)
 	if !time.Now().Before(engineReq.Deadline) {
 		return errorAnswer(status.New(status.DeadlineExceeded, status.NotRun, "the deadline has passed").WithRetryAfter(engine.DefaultRetryAfter))
 	}
@@ -197,7 +197,7 @@
 
 // gather queries all shards of a service and answers with their merged records.
 func (r *Relay) gather(ctx context.Context, req *relayapi.Request, route *route, engineReq *engine.Request) *relayapi.Answer {
-	w := &gatherWork{requestWork: requestWork{relay: r, req: req, layout: route.layout, deadline: engineReq.Deadline, maxBodyBytes: maxShardReplyBytes}, topRecords: route.relay.TopRecords}
+	w := &gatherWork{requestWork: requestWork{relay: r, req: r.cfg.Targets.Encode(req), layout: route.layout, deadline: engineReq.Deadline, maxBodyBytes: maxShardReplyBytes}, topRecords: route.relay.TopRecords}
 	engineReq.Work, engineReq.Groups, engineReq.GroupTargets = w, route.relay.Shards, route.allTargets
 	if _, err := r.cfg.Engine.Run(ctx, engineReq); err != nil {
 		return errorAnswer(status.From(err))
@@ -208,7 +208,7 @@
 // passThrough answers with the reply of one target.
 func (r *Relay) passThrough(ctx context.Context, req *relayapi.Request, route *route, engineReq *engine.Request) *relayapi.Answer {
 	part := route.choosePart()
-	w := &passThroughWork{requestWork: requestWork{relay: r, req: req, layout: route.partLayouts[part], deadline: engineReq.Deadline}}
+	w := &passThroughWork{requestWork: requestWork{relay: r, req: r.cfg.Targets.Encode(req), layout: route.partLayouts[part], deadline: engineReq.Deadline}}
 	engineReq.Work, engineReq.Groups, engineReq.GroupTargets = w, []string{route.relay.Split[part].Group}, route.partTargets[part]
 	run := r.cfg.Engine.Run
 	if route.service.Repeat.Rule == sheet.AtMostOnce {
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -18,7 +18,7 @@
 // requestWork is the common part of gatherWork and passThroughWork.
 type requestWork struct {
 	relay    *Relay
-	req      *relayapi.Request
+	req      *relayapi.EncodedRequest
 	layout   *index.Snapshot
 	deadline time.Time
 	// maxBodyBytes limits the body of a target's reply. Zero selects the limit of the connection.
--- a/protocol/relayapi/relayapi.go
+++ b/protocol/relayapi/relayapi.go
@@ -34,6 +34,13 @@
 	HopMargin time.Duration
 }
 
+// EncodedRequest is a request with the part of its head that is the same in each attempt, in the wire format
+// of the targets. Attempts share it and the body.
+type EncodedRequest struct {
+	*Request
+	Head []byte
+}
+
 // Reply is a target's complete reply.
 type Reply struct {
 	HTTPStatus int
--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -346,7 +346,7 @@
 	c := New(noMetrics{})
 	defer c.Close()
 	target := []sheet.Target{{ID: "t", Address: lis.Addr().String()}}
-	message := &Message{Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: t\r\n\r\n")}
+	message := &Message{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: t\r\n\r\n")}
 	for share, kept := range map[int]int{0: 0, 1: 1} {
 		c.Configure(target, func(sheet.Target) int { return share })
 		reply, err := c.Exchange(t.Context(), "t", message, Options{})
@@ -375,7 +375,7 @@
 			return err
 		},
 		"exchange": func(apply func(), maySend func(string) error) error {
-			m := &Message{Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: t\r\n\r\n"), OnReply: func(*Reply) { apply() }}
+			m := &Message{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: t\r\n\r\n"), OnReply: func(*Reply) { apply() }}
 			_, err := client.Exchange(t.Context(), "target-1", m, Options{MaySend: maySend})
 			return err
 		},
--- a/transport/targethttp/late.go
+++ b/transport/targethttp/late.go
@@ -18,7 +18,7 @@
 // false, and does nothing, if the reply has begun to arrive or the connection must be closed at once.
 func (x *exchange) readLate(m *Message) bool {
 	half, ok := x.conn.Conn.(halfCloser)
-	if !ok || len(m.Bytes) > maxInlineWriteBytes || x.conn.limited.remaining != MaxHeaderBytes || x.conn.reader.Buffered() > 0 {
+	if !ok || m.size() > maxInlineWriteBytes || x.conn.limited.remaining != MaxHeaderBytes || x.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if x.client.lateReplies.Add(1) > maxLateReplies {
--- a/transport/targethttp/outcome_test.go
+++ b/transport/targethttp/outcome_test.go
@@ -26,7 +26,7 @@
 	for _, size := range []int{0, 2 * maxInlineWriteBytes} {
 		for range 20 {
 			ctx, cancel := context.WithCancel(t.Context())
-			message := &Message{Method: http.MethodGet, Bytes: []byte("GET / HTTP/1.1\r\nHost: t\r\nX: " + strings.Repeat("x", size) + "\r\n\r\n")}
+			message := &Message{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: t\r\nX: " + strings.Repeat("x", size) + "\r\n\r\n")}
 			_, err := client.Exchange(ctx, "target-1", message, Options{MaySend: func(string) error { cancel(); return nil }})
 			is.Equal(status.CodeOf(err), status.Canceled)
 			is.Equal(status.From(err).Outcome, status.NotRun)
@@ -67,7 +67,7 @@
 		p.open = 1
 		x := &exchange{client: New(&fakeMetrics{}), pool: p, target: "target-1", started: time.Now(),
 			conn: newConn(&unwritableConn{n: n, interrupted: make(chan struct{})}, time.Now())}
-		_, err := x.relay(t.Context(), &Message{Method: http.MethodPost, Bytes: make([]byte, maxInlineWriteBytes+1)}, 0)
+		_, err := x.relay(t.Context(), &Message{Method: http.MethodPost, Head: make([]byte, maxInlineWriteBytes+1)}, 0)
 		is.Equal(status.From(err).Outcome, outcome)
 	}
 }
--- a/transport/targethttp/relay.go
+++ b/transport/targethttp/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,8 +28,9 @@
 // Message is an HTTP/1.1 request in wire format.
 type Message struct {
 	Method string
-	// Bytes holds the request line, the header and the body.
-	Bytes []byte
+	// Head begins the message and Fields ends its head. Head and Body are not modified, so that several
+	// messages may share them.
+	Head, Fields, Body []byte
 	// MatchesReply reports whether a reply with this header may be the reply to the message. Nil
 	// accepts every reply.
 	MatchesReply func(http.Header) bool
@@ -43,6 +46,25 @@
 	OnLateReply func(*Reply)
 }
 
+// size returns the number of bytes of the message.
+func (m *Message) size() int { return len(m.Head) + len(m.Fields) + len(m.Body) }
+
+// write writes the message and returns the number of bytes written. Only a message that is written inline is
+// copied.
+func (m *Message) write(w io.Writer) (n int, err error) {
+	if m.size() <= maxInlineWriteBytes {
+		return w.Write(slices.Concat(m.Head, m.Fields, m.Body))
+	}
+	for _, part := range [][]byte{slices.Concat(m.Head, m.Fields), m.Body} {
+		k, err := w.Write(part)
+		n += k
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // Reply is a complete reply with a body of at most MaxReplyBytes.
 type Reply struct {
 	HTTPStatus int
@@ -96,8 +118,8 @@
 // transfer writes a message and reads its reply. It reads while it writes a long message, because a
 // target may reply before it has read the whole body.
 func (x *exchange) transfer(m *Message) (*Reply, status.Outcome, error) {
-	if len(m.Bytes) <= maxInlineWriteBytes {
-		if n, err := x.conn.Write(m.Bytes); err != nil {
+	if m.size() <= maxInlineWriteBytes {
+		if n, err := m.write(x.conn); err != nil {
 			return nil, writeOutcome(n), err
 		}
 		reply, err := x.readRelayedReply(m)
@@ -109,7 +131,7 @@
 	}
 	written := make(chan writeResult, 1)
 	go func() {
-		n, err := x.conn.Write(m.Bytes)
+		n, err := m.write(x.conn)
 		written <- writeResult{n, err}
 	}()
 	reply, err := x.readRelayedReply(m)
