Keep only the records that an answer may contain of a shard's reply

What callers saw: nothing yet. 500 searches whose shards reply with 60 KiB each, while one shard is silent, take an entry to the memory of the smallest machine and beyond. Cause: the budget counts the reply of a shard until it is read; its body and its head, and those of failures, were held until the last shard replied. Class: bytes that are held for longer than they are counted. Change: a reply is reduced to its greatest top_k records and its signature as soon as it is read, a failure to its status. Conclusion: what an answer waits for is bounded by its size.

--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -108,13 +109,27 @@
 // Send implements engine.Work.
 func (w *gatherWork) Send(ctx context.Context, a engine.Attempt) (any, error) {
 	reply, err := w.send(ctx, a)
+	if err == nil && !isSuccess(reply) {
+		err = status.Wrap(&relayapi.ReplyError{Reply: reply}, status.Unavailable, status.Unknown, "target %s failed", a.Target)
+	}
 	if err != nil {
+		var failed *relayapi.ReplyError
+		if errors.As(err, &failed) {
+			failed.Reply.Header, failed.Reply.Body = nil, nil // Failures of shards are not passed on.
+		}
 		return nil, err
 	}
-	if !isSuccess(reply) {
-		return nil, status.Wrap(&relayapi.ReplyError{Reply: reply}, status.Unavailable, status.Unknown, "target %s failed", a.Target)
+	return w.compact(reply), nil
+}
+
+// compact returns the part of a reply that an answer may contain. It is kept until the last shard has replied,
+// beside those of all other shards.
+func (w *gatherWork) compact(reply *relayapi.Reply) *relayapi.Reply {
+	body := reply.Body
+	if len(body) > w.topRecords*toprecords.RecordSize {
+		body = toprecords.Greatest([][]byte{body}, w.topRecords)
 	}
-	return reply, nil
+	return &relayapi.Reply{HTTPStatus: reply.HTTPStatus, Signature: reply.Signature, Body: body}
 }
 
 // Accept implements engine.Work.
