Count the heads of requests toward the budget of held bytes

What callers saw: nothing yet. 450 connections with incomplete heads of 60 KiB in small fields take an entry with 64 MB to 213 MB. Cause: a parsed field takes far more memory than its bytes, up to 0.5 MB for 16 KiB of them with the copy that is forwarded, and neither the budget nor the bound on connections counts heads. Class: memory that follows from the structure of what a caller sends and not from its size. Change: connlimit counts the bytes and the fields of a head as they arrive, above 8 KiB toward the budget. An incomplete head gives way like an incomplete body; without room the connection is closed before the request is parsed.

--- a/transport/connlimit/connlimit.go
+++ b/transport/connlimit/connlimit.go
@@ -7,6 +7,7 @@
 import (
 	"container/list"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -76,9 +77,15 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		limited.setWaiting(true)
+		limited.releaseHead()
 		limited.setPhase(idle)
-	default: // The header has been read, or the connection was closed or hijacked.
+	case http.StateClosed:
 		limited.setWaiting(false)
+		limited.releaseHead()
+		limited.setPhase(active)
+	default: // The header has been read, or the connection was hijacked.
+		limited.setWaiting(false)
+		limited.runHead()
 		limited.setPhase(active)
 	}
 }
@@ -164,7 +171,14 @@
 	waitStart   time.Time
 	closed      bool
 
+	// headHolder holds headHeld bytes for the head of the current request. It is nil if these are part of
+	// connectionBytes. Both are used by the goroutine that serves the connection.
+	headHolder *bytebudget.Holder
+	headHeld   int64
+
 	mu sync.Mutex
+	// head is the head of the current request as far as it was read. Guarded by mu.
+	head head
 	// phase began at phaseStart. timer fires at its limit and is nil without one. Guarded by mu.
 	phase      phase
 	phaseStart time.Time
@@ -179,6 +193,17 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if size, reading := c.recordRead(b[:n], err); reading && !c.holdHead(size) {
+		_ = c.Close() // The budget counts the refusal.
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// recordRead records the result of a read. It returns the memory of the head of the request if the read is part
+// of it.
+func (c *conn) recordRead(data []byte, err error) (headSize int64, reading bool) {
+	n := len(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -188,7 +213,11 @@
 		// The server would respond with 400 to an incomplete header.
 		_ = c.Close() // No caller is left to handle an error.
 	}
-	return n, err
+	if n == 0 || c.phase != readingHeader {
+		return 0, false
+	}
+	c.head.add(data)
+	return c.head.bytes, true
 }
 
 // Write implements net.Conn. The connection counts as not read once no byte has been accepted for
@@ -268,6 +297,9 @@
 		c.expired = false
 		_ = c.SetReadDeadline(time.Time{}) // On failure, the next read fails too.
 	}
+	if p == idle {
+		c.head = head{}
+	}
 	c.phase, c.phaseStart = p, time.Now()
 	if limit := c.limit(); limit > 0 {
 		c.startTimer(limit)
