Test large queries of the search API

Cause: the search API encodes the query for each attempt as well; nothing measured what that costs. Change: TestCrowdOfLargeQueries sends 60 searches of 900 KiB over 24 shards to an entry with 96 MB. The copies remain.

--- a/test/crowd/gather_test.go
+++ b/test/crowd/gather_test.go
@@ -253,3 +253,26 @@
 		})
 	}
 }
+
+// Guards against copies of a query for each shard and each attempt that exhaust the memory of an entry.
+func TestCrowdOfLargeQueries(t *testing.T) {
+	const memoryMB, searches, shards, queryBytes = 96, 60, 24, 900 << 10
+	f := testfleet.New(t, testfleet.Options{Entries: 1, Targets: 3, Shards: shards, ServiceMS: 300})
+	p := f.Entries[0]
+	f.Kill(p)
+	p.Settings.MaxBodyBytes, p.Settings.MemoryMB = 1<<20, memoryMB
+	f.Start(p)
+	f.WaitReady(p)
+	s := &subject{pid: p.PID(), maxResidentMB: memoryMB,
+		ask: func() bool { return f.Search(p, testfleet.IdempotentSearch("clamp")).Status == http.StatusOK }}
+	if !eventually(s.ask) {
+		t.Fatal("the entry does not answer without a crowd")
+	}
+	var running sync.WaitGroup
+	query := strings.Repeat("x", queryBytes)
+	for range searches {
+		running.Go(func() { f.Search(p, testfleet.IdempotentSearch(query)) })
+	}
+	running.Wait()
+	s.check(t)
+}
