Check later attempts against the current target list

Cause: a request keeps the candidates of its arrival, and the checks before each attempt know the targets that stated themselves that they leave, not those that the list states. Class: a decision made again from inputs that are not read again. Change: the targets that the current list states as leaving are part of the restrictions that every choice and every send asks. Targets that are no longer listed were refused before, because their connections are closed.

--- a/internal/engine/catalogue.go
+++ b/internal/engine/catalogue.go
@@ -56,6 +56,8 @@
 	// Started is the Unix time of its start in milliseconds, zero if unknown. ID and Started
 	// identify the incarnation.
 	Started int64
+	// Leaving is set if the list states that the target gets no new requests.
+	Leaving bool
 	// Zone is the availability zone of the target.
 	Zone string
 	// Slots is the number of attempts that the target runs concurrently.
--- a/internal/engine/leaving.go
+++ b/internal/engine/leaving.go
@@ -29,6 +29,9 @@
 	// evacuated maps the targets of evacuated zones to their zones, zones the targets of the catalogue. Guarded
 	// by mu.
 	evacuated, zones map[string]string
+	// listedLeaving holds the targets that the current list states as leaving. Requests that arrived under an
+	// earlier list may still choose them. Guarded by mu.
+	listedLeaving map[string]bool
 	// evacuatedZones lists the evacuated zones. The slice is replaced, not changed. Guarded by mu.
 	evacuatedZones []string
 }
@@ -42,7 +45,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	f()
-	n.count.Store(int64(n.leaving.Len() + n.holdOffs.Len() + len(n.evacuated)))
+	n.count.Store(int64(n.leaving.Len() + n.holdOffs.Len() + len(n.evacuated) + len(n.listedLeaving)))
 }
 
 // blockedUntil reports whether a target currently gets no new work, and why, and until when, zero if unknown.
@@ -55,7 +58,7 @@
 	if n.evacuated[target] != "" {
 		return 0, restrictedEvacuated, true
 	}
-	if n.leaving.Has(target, now) {
+	if n.listedLeaving[target] || n.leaving.Has(target, now) {
 		return 0, restrictedLeaving, true
 	}
 	if until = n.holdOffs.Until(target, now); until > 0 {
@@ -79,6 +82,7 @@
 		evacuatedBefore, n.evacuatedZones = n.evacuatedZones, c.EvacuatedZones
 		n.started = started
 		n.setZones(zones, c.EvacuatedZones)
+		n.listedLeaving = leavingTargets(c.Targets)
 		n.leaving.SetListed(started, now)
 		n.holdOffs.SetListed(started)
 	})
@@ -94,6 +98,17 @@
 	return started
 }
 
+// leavingTargets returns the targets that are listed as leaving.
+func leavingTargets(targets []CatalogueTarget) map[string]bool {
+	leaving := make(map[string]bool)
+	for i := range targets {
+		if targets[i].Leaving {
+			leaving[targets[i].ID] = true
+		}
+	}
+	return leaving
+}
+
 // targetZones returns the zones of the targets.
 func targetZones(targets []CatalogueTarget) map[string]string {
 	zones := make(map[string]string, len(targets))
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -214,7 +214,7 @@
 		if t.Cold {
 			cold = coldPeriod
 		}
-		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Started: t.Started, Zone: t.Zone, Slots: t.Slots, ColdFor: cold, Evacuated: p.targets.IsEvacuated(t.Zone)})
+		c.Targets = append(c.Targets, engine.CatalogueTarget{ID: t.ID, Started: t.Started, Leaving: t.Leaving, Zone: t.Zone, Slots: t.Slots, ColdFor: cold, Evacuated: p.targets.IsEvacuated(t.Zone)})
 	}
 	return c
 }
