Leave out the age of a document that was never confirmed

Cause: the log line of an overdue read states an age of 292 years after a pause of the process, which forgets the confirmations. Change: the line has the age and the source only if there are any. Result: go test ./internal/configsync -run 'Confirm|ChangeIsInForce': passed.

--- a/internal/configsync/confirmation.go
+++ b/internal/configsync/confirmation.go
@@ -134,7 +134,9 @@
 	if r.failures > 0 {
 		return // Logged before the first of the failed calls.
 	}
-	c := s.confirmations.latest(r.key)
-	s.deps.Log.Info().Str("key", r.key).Dur("confirmed_age", time.Since(c.at)).Str("source", c.source).
-		Msg("no entry is known to have read the platform recently; reading it")
+	event := s.deps.Log.Info().Str("key", r.key)
+	if c := s.confirmations.latest(r.key); !c.at.IsZero() {
+		event.Dur("confirmed_age", time.Since(c.at)).Str("source", c.source)
+	}
+	event.Msg("no entry is known to have read the platform recently; reading it")
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -51,7 +51,8 @@
 	peerSignal chan struct{}
 	zoneSignal chan struct{}
 
-	// position is the place of this entry among those that read the platform when no document is confirmed, from 0 to 1.
+	// position is the place of this entry among those that read the platform when no document is confirmed,
+	// from 0 to 1.
 	position float64
 
 	// viewMu serializes updates of view.
