--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -225,7 +225,7 @@
 // HandleExchange handles an Exchange call of a peer. It does no I/O: newer documents are fetched
 // afterwards. The error is always nil.
 func (s *Syncer) HandleExchange(_ context.Context, in *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	s.handleMessage(in, "", time.Time{})
+	s.handleMessage(in, "", time.Time{}) // Its time on the way is estimated.
 	// A message with documents and without members is a push. One with neither comes from an entry
 	// that is starting and needs the members.
 	push := len(in.Members) == 0 && len(in.Documents) > 0
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -78,7 +78,7 @@
 			sleep(ctx, min(time.Until(due), s.cfg.ExchangeInterval))
 			continue
 		}
-		if !r.fullRead && !watching && overdue {
+		if overdue = overdue && !r.fullRead && !watching; overdue {
 			s.reportOverdue(r)
 		}
 		began := time.Now()
@@ -93,7 +93,7 @@
 			}
 			// The platform may recover with an earlier state.
 			r.fullRead = r.fullRead || watching && !s.cfg.MonotonicPlatform
-			s.waitBackoff(ctx, r, err, !r.fullRead && !watching && overdue)
+			s.waitBackoff(ctx, r, err, overdue)
 			continue
 		}
 		if r.failures > 0 {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,9 +3,7 @@
 import (
 	"expvar"
 	"net/http"
-	"time"
 
-	"github.com/balsamstall/balsamstall/internal/configsync"
 	"github.com/balsamstall/balsamstall/internal/engine"
 	"github.com/balsamstall/balsamstall/protocol/callerapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
@@ -111,19 +109,6 @@
 	vars.Set("confirmed_age_ms", m.ConfirmedAge)
 }
 
-// confirmedAges returns the function of Metrics.ConfirmedAge.
-func confirmedAges(syncer *configsync.Syncer, keys ...string) expvar.Func {
-	return func() any {
-		ages := make(map[string]int64, len(keys))
-		for _, key := range keys {
-			if at := syncer.ConfirmedAt(key); !at.IsZero() {
-				ages[key] = time.Since(at).Milliseconds()
-			}
-		}
-		return ages
-	}
-}
-
 // SilentConnection implements targethttp.Metrics.
 func (m *Metrics) SilentConnection() { m.SilentConnections.Add(1) }
 
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -11,7 +11,6 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	"github.com/rs/zerolog"
 
-	"github.com/balsamstall/balsamstall/coordination/confirm"
 	"github.com/balsamstall/balsamstall/coordination/homes"
 	"github.com/balsamstall/balsamstall/coordination/notice"
 	"github.com/balsamstall/balsamstall/coordination/ratelimit"
@@ -53,11 +52,6 @@
 	// the platform rejects.
 	relayYieldAfter = 300 * time.Millisecond
 	relayYieldFor   = 4 * time.Second
-	// confirmReserveDivisor reserves a quarter of the time within which a change must be in force for the
-	// read of an entry whose documents are unconfirmed.
-	confirmReserveDivisor = 4
-	// confirmCallShare is the share of the store's calls that such reads may use.
-	confirmCallShare = 0.5
 	// relaySettleOutage is the outage after which targets may have expired. It is shorter than
 	// three heartbeats of 1.2 s, after which the platform removes a silent target.
 	relaySettleOutage = 3 * time.Second
@@ -218,16 +212,6 @@
 	d.metrics.ConfirmedAge = confirmedAges(d.syncer, platformapi.SheetKey, platformapi.TargetsKey)
 }
 
-// confirmSettings returns when an entry that is not a watcher reads the store. The read, and what it
-// changes, take the rest of the bound.
-func confirmSettings(set *settings.Relay) confirm.Settings {
-	if len(set.ChangeBoundsMS) == 0 {
-		return confirm.Settings{}
-	}
-	bound := time.Duration(slices.Min(set.ChangeBoundsMS)) * time.Millisecond
-	return confirm.Settings{MaxAge: bound - bound/confirmReserveDivisor, CallsPerSecond: set.StoreCallsPerS * confirmCallShare}
-}
-
 // seeds returns the seed addresses, except this entry's own, as peers with placeholder ids.
 func (d *RelayDaemon) seeds(addresses []string) []configsync.Peer {
 	var peers []configsync.Peer
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -74,9 +74,7 @@
 		for _, k := range kinds {
 			t.Run(entry.name+"/"+k.name, func(t *testing.T) {
 				s := entry.start(t)
-				if !eventually(s.ask) {
-					t.Fatal("the entry does not answer without a crowd")
-				}
+				s.awaitAnswer(t)
 				t.Logf("without a crowd: %d MB resident", s.status(t, "VmRSS:")>>10)
 				files, leave := s.attack(t, k)
 				defer leave()
--- a/test/crowd/gather_test.go
+++ b/test/crowd/gather_test.go
@@ -26,8 +26,8 @@
 	gatherBody      = 256 << 10
 )
 
-// darkServer returns a server that reads requests and does not answer.
-func darkServer(t *testing.T, id string) *platformtest.Server {
+// rawServer returns a server that handles each connection with handle.
+func rawServer(t *testing.T, id string, handle func(net.Conn)) *platformtest.Server {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -39,12 +39,17 @@
 			if err != nil {
 				return
 			}
-			go func() { _, _ = io.Copy(io.Discard, c); c.Close() }()
+			go func() { handle(c); c.Close() }()
 		}
 	}()
 	return &platformtest.Server{ID: id, Address: lis.Addr().String()}
 }
 
+// silentServer returns a server that reads requests and does not answer.
+func silentServer(t *testing.T, id string) *platformtest.Server {
+	return rawServer(t, id, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+}
+
 // wideServer returns a server that answers each request with a body of the given size.
 func wideServer(t *testing.T, id string, replyBytes int) *platformtest.Server {
 	s, err := platformtest.NewServer(id, strings.Repeat("0123456789abcdef", replyBytes/16))
@@ -67,8 +72,8 @@
 	return shards
 }
 
-// search sends requests at once and waits until each has an answer or its connection has ended.
-func search(t *testing.T, address, request string, requests int) {
+// sendAll sends requests at once and waits until each has an answer or its connection has ended.
+func sendAll(address, request string, requests int) {
 	var sent sync.WaitGroup
 	for range requests {
 		sent.Go(func() {
@@ -85,6 +90,14 @@
 	sent.Wait()
 }
 
+// awaitAnswer waits until the entry answers an ordinary request, before there is a crowd.
+func (s *subject) awaitAnswer(t *testing.T) {
+	t.Helper()
+	if !eventually(s.ask) {
+		t.Fatal("the entry does not answer without a crowd")
+	}
+}
+
 // check fails the test if a process exceeds its memory or does not answer an ordinary request.
 func (s *subject) check(t *testing.T) {
 	t.Helper()
@@ -114,12 +127,10 @@
 func TestCrowdOfSearchesWithLargeBodies(t *testing.T) {
 	for _, searches := range []int{100, 300} {
 		t.Run(fmt.Sprint(searches), func(t *testing.T) {
-			address := publish(t, shardsOf(func(_ int, id string) *platformtest.Server { return darkServer(t, id) }))
+			address := publish(t, shardsOf(func(_ int, id string) *platformtest.Server { return silentServer(t, id) }))
 			s := startPlatformEntry(t, address, entryOptions{id: "entry-1", memoryMB: gatherMemoryMB, files: gatherFiles})
-			if !eventually(s.ask) {
-				t.Fatal("the entry does not answer without a crowd")
-			}
-			search(t, s.address, gatherRequest(http.MethodPost, gatherBody), searches)
+			s.awaitAnswer(t)
+			sendAll(s.address, gatherRequest(http.MethodPost, gatherBody), searches)
 			s.check(t)
 		})
 	}
@@ -130,32 +141,28 @@
 	const searches, replyBytes = 500, 60 << 10
 	address := publish(t, shardsOf(func(shard int, id string) *platformtest.Server {
 		if shard == 0 {
-			return darkServer(t, id)
+			return silentServer(t, id)
 		}
 		return wideServer(t, id, replyBytes)
 	}))
 	s := startPlatformEntry(t, address, entryOptions{id: "entry-1", memoryMB: gatherMemoryMB, files: gatherFiles})
-	if !eventually(s.ask) {
-		t.Fatal("the entry does not answer without a crowd")
-	}
-	search(t, s.address, gatherRequest(http.MethodGet, 0), searches)
+	s.awaitAnswer(t)
+	sendAll(s.address, gatherRequest(http.MethodGet, 0), searches)
 	s.check(t)
 }
 
 // Guards against bodies that exhaust the memory of an entry or of the home that runs its searches.
 func TestCrowdOfSearchesThroughAHome(t *testing.T) {
 	const searches = 200
-	address := publish(t, shardsOf(func(_ int, id string) *platformtest.Server { return darkServer(t, id) }))
+	address := publish(t, shardsOf(func(_ int, id string) *platformtest.Server { return silentServer(t, id) }))
 	peer := testfleet.FreeAddress(t)
 	const homes = `, "homes_from": 2, "homes_per_zone": 1, "cores": %g`
 	home := startPlatformEntry(t, address, entryOptions{id: "home", memoryMB: gatherMemoryMB, files: gatherFiles, peerAddress: peer, more: fmt.Sprintf(homes, 4.0)})
 	receiver := startPlatformEntry(t, address, entryOptions{id: "receiver", memoryMB: gatherMemoryMB, files: gatherFiles, seed: peer, more: fmt.Sprintf(homes, 0.2)})
 	for _, s := range []*subject{home, receiver} {
-		if !eventually(s.ask) {
-			t.Fatal("an entry does not answer without a crowd")
-		}
+		s.awaitAnswer(t)
 	}
-	search(t, receiver.address, gatherRequest(http.MethodPost, gatherBody), searches)
+	sendAll(receiver.address, gatherRequest(http.MethodPost, gatherBody), searches)
 	receiver.check(t)
 	home.check(t)
 }
@@ -176,10 +183,8 @@
 		t.Run(name, func(t *testing.T) {
 			address := publish(t, nil)
 			s := startPlatformEntry(t, address, entryOptions{id: "entry-1", memoryMB: memoryMB, files: files})
-			if !eventually(s.ask) {
-				t.Fatal("the entry does not answer without a crowd")
-			}
-			search(t, s.address, s.head+request, connections)
+			s.awaitAnswer(t)
+			sendAll(s.address, s.head+request, connections)
 			s.check(t)
 		})
 	}
@@ -192,40 +197,23 @@
 	store := platformtest.NewStore()
 	platformtest.PublishSingle(store, single, gatherBody)
 	s := startPlatformEntry(t, serveStore(t, store), entryOptions{id: "entry-1", memoryMB: gatherMemoryMB, files: gatherFiles})
-	if !eventually(s.ask) {
-		t.Fatal("the entry does not answer without a crowd")
-	}
-	search(t, s.address, s.head+"Content-Length: 0\r\n\r\n", connections)
+	s.awaitAnswer(t)
+	sendAll(s.address, s.head+"Content-Length: 0\r\n\r\n", connections)
 	s.check(t)
 }
 
 // endlessServer returns a server that answers a request with head and then with unit until the connection closes.
 func endlessServer(t *testing.T, id, head, unit string) *platformtest.Server {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { lis.Close() })
 	block := []byte(strings.Repeat(unit, 1+4096/len(unit)))
-	go func() {
-		for {
-			c, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := c.Read(make([]byte, 4096)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, head)
-				for err == nil {
-					_, err = c.Write(block)
-				}
-			}()
+	return rawServer(t, id, func(c net.Conn) {
+		if _, err := c.Read(make([]byte, 4096)); err != nil {
+			return
 		}
-	}()
-	return &platformtest.Server{ID: id, Address: lis.Addr().String()}
+		_, err := io.WriteString(c, head)
+		for err == nil {
+			_, err = c.Write(block)
+		}
+	})
 }
 
 // Guards against bytes without end from many servers at once, in a head or in a body, that exhaust the memory of an entry.
@@ -245,10 +233,8 @@
 		t.Run(name, func(t *testing.T) {
 			address := publish(t, shardsOf(func(_ int, id string) *platformtest.Server { return endlessServer(t, id, c.head, c.unit) }))
 			s := startPlatformEntry(t, address, entryOptions{id: "entry-1", memoryMB: gatherMemoryMB, files: gatherFiles})
-			if !eventually(s.ask) {
-				t.Fatal("the entry does not answer without a crowd")
-			}
-			search(t, s.address, gatherRequest(http.MethodGet, 0), searches)
+			s.awaitAnswer(t)
+			sendAll(s.address, gatherRequest(http.MethodGet, 0), searches)
 			s.check(t)
 		})
 	}
@@ -265,9 +251,7 @@
 	f.WaitReady(p)
 	s := &subject{pid: p.PID(), maxResidentMB: memoryMB,
 		ask: func() bool { return f.Search(p, testfleet.IdempotentSearch("clamp")).Status == http.StatusOK }}
-	if !eventually(s.ask) {
-		t.Fatal("the entry does not answer without a crowd")
-	}
+	s.awaitAnswer(t)
 	var running sync.WaitGroup
 	query := strings.Repeat("x", queryBytes)
 	for range searches {
