--- a/cmd/balsam-entry/platform.go
+++ b/cmd/balsam-entry/platform.go
@@ -29,6 +29,7 @@
 func relayPlatform(args arguments, set *settings.Relay, log zerolog.Logger) error {
 	debug.SetGCPercent(gcPercent)
 	limitMemory(set.MemoryMB)
+	set.Zone = store.ZoneName(set.Zone)
 	client, err := store.New(set.PlatformAddress, log)
 	if err != nil {
 		return err
--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -33,6 +33,8 @@
 	version revision.Version
 	// faulty is set if the document is invalid, and not set if it is too old or in conflict.
 	faulty bool
+	// leftOut is set if only parts of the document are left out.
+	leftOut bool
 }
 
 // add records a refusal and reports whether it is new. A full set is cleared, so a refusal may be
@@ -76,7 +78,7 @@
 // the whole candidate.
 func (s *Syncer) accept(key string, content *delta.Document, from origin) revision.Decision {
 	candidate := versionOf(content)
-	if s.refusals.has(refusal{key, candidate, true}) {
+	if s.refusals.has(refusal{key: key, version: candidate, faulty: true}) {
 		return revision.Faulty
 	}
 	current := s.store.Current(key)
@@ -115,10 +117,26 @@
 
 // refuseData reports data from actor that is not a document.
 func (s *Syncer) refuseData(key string, data []byte, actor string, fault error) {
+	if len(data) == 0 {
+		data = []byte(fault.Error())
+	}
 	version := revision.Version{Digest: revision.DigestOf(data)}
 	s.recordDecision(key, version, revision.Faulty, origin{actor: actor}, fault)
 }
 
+// reportLeftOut logs and counts, once for each version, the parts of a document of the platform that cannot be
+// used.
+func (s *Syncer) reportLeftOut(key string, v revision.Version, fault error) {
+	if !s.refusals.add(refusal{key: key, version: v, leftOut: true}) {
+		return
+	}
+	s.deps.Audit.Record(time.Now(), audit.DocumentRefused, platformActor, fmt.Sprintf("%s revision %d: parts left out: %v", key, v.Revision, fault))
+	s.deps.Log.Warn().Err(fault).Str("key", key).Uint64("revision", v.Revision).Msg("parts of the document cannot be used and are left out")
+	if s.deps.OnRefused != nil {
+		s.deps.OnRefused(key)
+	}
+}
+
 // parse decodes and validates a document. Only the parts that differ from the current document are
 // decoded if possible.
 func (s *Syncer) parse(key string, content *delta.Document, version revision.Version) (any, error) {
@@ -214,7 +232,7 @@
 	case revision.Conflict:
 		s.recordConflict(key, v, from.actor)
 	case revision.TooOld, revision.Faulty:
-		if !s.refusals.add(refusal{key, v, decision == revision.Faulty}) {
+		if !s.refusals.add(refusal{key: key, version: v, faulty: decision == revision.Faulty}) {
 			return
 		}
 		s.deps.Audit.Record(time.Now(), audit.DocumentRefused, from.actor, detail)
@@ -236,7 +254,7 @@
 // recordConflict reports that actor has a different document with the current revision. Operators
 // must publish a higher revision.
 func (s *Syncer) recordConflict(key string, v revision.Version, actor string) {
-	if !s.refusals.add(refusal{key, v, false}) {
+	if !s.refusals.add(refusal{key: key, version: v}) {
 		return
 	}
 	detail := fmt.Sprintf("%s revision %d has digest %s at %s and %s here: publish a higher revision",
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -209,7 +209,7 @@
 	claim := revision.Claim{Version: revision.Version{Era: d.Era, Revision: d.Revision, Digest: digest}, Settled: d.Settled}
 	switch decision := revision.DecideClaim(s.store.Claim(d.Key), claim, true); decision {
 	case revision.Accept:
-		if sender.Address != "" && !s.refusals.has(refusal{d.Key, claim.Version, true}) {
+		if sender.Address != "" && !s.refusals.has(refusal{key: d.Key, version: claim.Version, faulty: true}) {
 			queue.add(offer{entry: sender.ID, address: sender.Address, claim: claim, confirmedAt: confirmedBy(d, sent)})
 		}
 	case revision.Unchanged, revision.TooOld:
--- a/internal/configsync/offers.go
+++ b/internal/configsync/offers.go
@@ -93,7 +93,7 @@
 		if !ok {
 			return
 		}
-		if s.refusals.has(refusal{key, o.claim.Version, true}) {
+		if s.refusals.has(refusal{key: key, version: o.claim.Version, faulty: true}) {
 			continue
 		}
 		s.fetch(ctx, key, o)
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -147,15 +147,27 @@
 	if s.cfg.MonotonicPlatform {
 		s.refreshed.Store(true)
 	}
+	s.acceptRead(r, doc)
+	return changed, nil
+}
+
+// acceptRead handles a document that was read from the platform.
+func (s *Syncer) acceptRead(r *platformReader, doc platformapi.Document) {
 	content, err := delta.New(doc.Value)
+	if len(doc.Value) == 0 && doc.Fault != nil {
+		err = doc.Fault
+	}
 	if err != nil {
 		s.refuseData(r.key, doc.Value, platformActor, err)
-		return changed, nil
+		return
+	}
+	version := versionOf(content)
+	if doc.Fault != nil {
+		s.reportLeftOut(r.key, version, doc.Fault)
 	}
 	if s.accept(r.key, content, origin{actor: platformActor, readAt: doc.ReadAt, settled: s.canSettle(r.key)}) == revision.Accept {
-		r.compared = versionOf(content)
+		r.compared = version
 	}
-	return changed, nil
 }
 
 // waitBackoff reports a failed call and waits for its backoff. After an overdue read it only schedules the next
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -147,7 +147,7 @@
 	st, sheetVersion, targetsVersion, confirmed := f.state, f.sheetVersion, f.targetsVersion, f.confirmedAt
 	f.mu.Unlock()
 	if key == platformapi.SheetKey {
-		return platformapi.Document{Key: key, Version: sheetVersion, Value: st.sheet.Value, ConfirmedAt: confirmed}, st.sheet.Err
+		return platformapi.Document{Key: key, Version: sheetVersion, Value: st.sheet.Value, ConfirmedAt: confirmed, Fault: st.sheet.Fault}, nil
 	}
 	value, err := json.Marshal(st.targetList())
 	if err != nil {
--- a/internal/feed/snapshot.go
+++ b/internal/feed/snapshot.go
@@ -90,7 +90,7 @@
 // applyEvacuations applies the changes that evacuated does not include yet, and reports whether there were any.
 func (s *snapshot) applyEvacuations(changes []published.EvacuationChange) (changed bool) {
 	for _, c := range changes {
-		if s.evacuatedCoverage.Includes(c.Zone, c.Revision) || s.evacuated[c.Zone] == c.Evacuated {
+		if s.evacuatedCoverage.Includes(c.Key(), c.Revision) || s.evacuated[c.Zone] == c.Evacuated {
 			continue
 		}
 		next := make(map[string]bool, len(s.evacuated)+1)
@@ -122,7 +122,7 @@
 		return false
 	}
 	for _, t := range list.Targets {
-		if own, ok := s.targets[t.ID]; !ok || own != t {
+		if own, ok := s.targets[cmp.Or(t.Name, t.ID)]; !ok || own != t {
 			return false
 		}
 	}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -293,7 +293,7 @@
 			limit = 0
 		}
 		if known {
-			list = append(list, sheet.Target{ID: t.ID, Address: t.Address, Zone: t.Zone, Slots: t.Slots, MaxConnections: limit})
+			list = append(list, sheet.Target{ID: t.ID, Name: t.Name, Address: t.Address, Zone: t.Zone, Slots: t.Slots, MaxConnections: limit})
 		}
 	}
 	return list
--- a/protocol/document/document.go
+++ b/protocol/document/document.go
@@ -194,15 +194,17 @@
 		return false
 	}
 	for _, r := range s {
-		switch {
-		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '.', r == '-', r == '_':
-		default:
+		if !validNameRune(r) {
 			return false
 		}
 	}
 	return true
 }
 
+func validNameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '.' || r == '-' || r == '_'
+}
+
 // InSet requires that value is in set.
 func (c *Checks) InSet(path, value string, set map[string]bool, allowed string) {
 	if !set[value] {
--- a/protocol/platformapi/platformapi.go
+++ b/protocol/platformapi/platformapi.go
@@ -38,6 +38,9 @@
 	// ConfirmedAt is a time as of which the platform had no newer version, or zero if unknown. It is set
 	// also if a watch returns no change. It is not sent.
 	ConfirmedAt time.Time `json:"-"`
+	// Fault describes the parts of the published document that cannot be used and that Value lacks, or is nil.
+	// Value is empty if that is the whole document. It is not sent.
+	Fault error `json:"-"`
 }
 
 // HostKind is the kind of process that runs on a host.
--- a/protocol/published/published.go
+++ b/protocol/published/published.go
@@ -3,6 +3,7 @@
 package published
 
 import (
+	"cmp"
 	"encoding/json"
 
 	"github.com/balsamstall/balsamstall/protocol/targetlist"
@@ -12,10 +13,10 @@
 type Sheet struct {
 	// Revision is the platform's revision at the last change of the sheet.
 	Revision uint64
-	// Value is the encoded sheet. It is empty if Err is set.
+	// Value is the encoded sheet. It is empty if the published value cannot be translated into a sheet.
 	Value json.RawMessage
-	// Err is the error if the published value cannot be translated into a sheet.
-	Err error
+	// Fault describes what Value lacks of the published value, or is nil.
+	Fault error
 }
 
 // Page is a part of a read of all registrations, or of all evacuated zones. It shows the keys (IDs or zones)
@@ -34,7 +35,7 @@
 	// ResumeRevision is the revision after which to watch for changes.
 	ResumeRevision uint64
 	Sheet          Sheet
-	// Targets maps IDs to registered targets.
+	// Targets maps the IDs of registrations to their targets.
 	Targets map[string]targetlist.Target
 	// Pages lists the pages from which Targets was read, in the order of their IDs. Their revisions
 	// differ if the registrations changed during the read, or if the pages of a stale read differ in age.
@@ -63,6 +64,7 @@
 
 // TargetChange is a change of one registration.
 type TargetChange struct {
+	// ID is the ID of the registration: that which the target states for itself.
 	ID string
 	// Revision is the platform's revision at the change.
 	Revision uint64
@@ -74,8 +76,13 @@
 // EvacuationChange is the start, the repetition or the end of the evacuation of one zone.
 type EvacuationChange struct {
 	Zone string
+	// Name is the name under which the platform publishes the zone if that is not Zone.
+	Name string
 	// Revision is the platform's revision at the change.
 	Revision uint64
 	// Evacuated is false if the evacuation has ended.
 	Evacuated bool
 }
+
+// Key returns the key of the change in the order of the pages.
+func (c *EvacuationChange) Key() string { return cmp.Or(c.Name, c.Zone) }
--- a/protocol/sheet/relay.go
+++ b/protocol/sheet/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -50,6 +52,15 @@
 	TopRecords int `json:"top_records,omitempty"`
 }
 
+// GroupNames returns the names of the groups to which the service sends requests.
+func (r *Relay) GroupNames() []string {
+	names := slices.Clone(r.Shards)
+	for _, p := range r.Split {
+		names = append(names, p.Group)
+	}
+	return names
+}
+
 // WeightedGroup is a group and its weight in a split.
 type WeightedGroup struct {
 	Group string `json:"group"`
@@ -60,11 +71,8 @@
 // MaxRuns is the maximum number of targets that a relay may let run one sub-request.
 const MaxRuns = 100
 
-// Limits of the other fields of a relay.
-const (
-	maxTopRecords = 100_000
-	maxHostLength = 255
-)
+// MaxTopRecords is the maximum of Relay.TopRecords.
+const MaxTopRecords = math.MaxInt32
 
 func (s *Sheet) checkGroups(c *document.Checks) map[string]bool {
 	seen := make(map[string]bool, len(s.Groups))
@@ -80,7 +88,7 @@
 }
 
 func (r *Relay) check(c *document.Checks, path string, rule RepeatRule, groups map[string]bool) {
-	if r.Host == "" || len(r.Host) > maxHostLength {
+	if r.Host == "" {
 		c.Add(path+".host", strconv.Quote(r.Host), "a host name")
 	}
 	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
@@ -91,7 +99,7 @@
 	case len(r.Shards) > 0 && len(r.Split) > 0, len(r.Shards) == 0 && len(r.Split) == 0:
 		c.Add(path, fmt.Sprintf("%d shards and %d split groups", len(r.Shards), len(r.Split)), "either shards or split")
 	case len(r.Shards) > 0:
-		c.Range(path+".top_records", int64(r.TopRecords), 1, maxTopRecords)
+		c.Range(path+".top_records", int64(r.TopRecords), 1, MaxTopRecords)
 		if rule != Idempotent {
 			c.Add(path+".shards", strconv.Quote(string(rule)), "the repeat rule idempotent, because shards are searched more than once")
 		}
--- a/protocol/sheet/sheet.go
+++ b/protocol/sheet/sheet.go
@@ -47,6 +47,9 @@
 // Target is a server that searches shards.
 type Target struct {
 	ID string `json:"id"`
+	// Name is the ID that the target states for itself if that is not ID; see targetlist.Target. Targets of a
+	// sheet have none.
+	Name string `json:"-"`
 	// Address is the target's IP:port.
 	Address string `json:"address"`
 	// Zone is the target's availability zone.
--- a/protocol/targetlist/targetlist.go
+++ b/protocol/targetlist/targetlist.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/balsamstall/balsamstall/protocol/document"
 )
@@ -33,6 +34,9 @@
 type Target struct {
 	// ID identifies the target. A restarted target may reuse the ID of its predecessor.
 	ID string `json:"id"`
+	// Name is the ID that the target states for itself if that is not a valid ID, and empty otherwise. ID is
+	// then derived from it.
+	Name string `json:"name,omitempty"`
 	// Started is the start time in milliseconds since the Unix epoch, or zero if unknown. ID and
 	// Started together identify the incarnation.
 	Started int64  `json:"started,omitempty"`
@@ -85,8 +89,8 @@
 	return returned
 }
 
-// maxSlots is the maximum number of slots of one target.
-const maxSlots = 10_000
+// MaxSlots is the maximum number of slots of one target.
+const MaxSlots = 10_000
 
 // Parse decodes and validates a list. It ignores unknown fields, because only entries encode lists, and those
 // of a later build may add fields. Every error is a *document.Error.
@@ -135,5 +139,13 @@
 	if address, err := netip.ParseAddrPort(t.Address); err != nil || address.Port() == 0 {
 		c.Add(path+".address", strconv.Quote(t.Address), "an IP address and port, such as 127.0.0.1:7101")
 	}
-	c.Range(path+".slots", int64(t.Slots), 1, maxSlots)
+	c.Range(path+".slots", int64(t.Slots), 1, MaxSlots)
+	if !validFieldValue(t.Name) {
+		c.Add(path+".name", strconv.Quote(t.Name), "text without control characters, and without white space at its ends")
+	}
+}
+
+// validFieldValue reports whether a header field conveys s unchanged.
+func validFieldValue(s string) bool {
+	return strings.Trim(s, " \t") == s && !strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == '\x7f' })
 }
