--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -101,6 +101,7 @@
 		s.store.Settle(key, candidate)
 	}
 	if decision == revision.Accept {
+		s.confirmations.accept(key, candidate)
 		s.reportListFaults(current, candidate, value, from)
 		s.updateView()
 	}
@@ -115,13 +116,14 @@
 	return revision.Version{Era: era, Revision: rev, Digest: content.Digest()}
 }
 
-// refuseData reports data from actor that is not a document.
-func (s *Syncer) refuseData(key string, data []byte, actor string, fault error) {
+// refuseData reports data from actor that is not a document, and returns a version that identifies it.
+func (s *Syncer) refuseData(key string, data []byte, actor string, fault error) revision.Version {
 	if len(data) == 0 {
 		data = []byte(fault.Error())
 	}
 	version := revision.Version{Digest: revision.DigestOf(data)}
 	s.recordDecision(key, version, revision.Faulty, origin{actor: actor}, fault)
+	return version
 }
 
 // reportLeftOut logs and counts, once for each version, the parts of a document of the platform that cannot be
--- a/internal/configsync/confirmation.go
+++ b/internal/configsync/confirmation.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -25,6 +26,38 @@
 	mu sync.Mutex
 	// byKey is guarded by mu.
 	byKey map[string]confirmation
+	// refused holds the versions of the platform that were refused as invalid, until a later one is accepted.
+	// The confirmations take them into account. Guarded by mu.
+	refused map[string]revision.Version
+}
+
+// refuse records that the platform's current version of a document is invalid.
+func (c *confirmations) refuse(key string, v revision.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refused == nil {
+		c.refused = make(map[string]revision.Version)
+	}
+	c.refused[key] = v
+}
+
+// accept records that a version of a document was accepted.
+func (c *confirmations) accept(key string, v revision.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if refused, ok := c.refused[key]; ok && revision.Compare(v, refused) >= 0 {
+		delete(c.refused, key)
+	}
+}
+
+// refusedVersion returns a number that identifies the refused version of a document, or zero if there is none.
+func (c *confirmations) refusedVersion(key string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v, ok := c.refused[key]; ok {
+		return binary.BigEndian.Uint64(v.Digest[:])
+	}
+	return 0
 }
 
 // record records a confirmation of the current document, unless a later one is known.
@@ -85,9 +118,10 @@
 }
 
 // confirmedBy returns the time of a peer's confirmation in a message that was sent no earlier than
-// sent, or zero if it has none.
-func confirmedBy(d *peerpb.DocumentInfo, sent time.Time) time.Time {
-	if d.ConfirmedAgeMs == nil {
+// sent, or zero if it has none. A peer's confirmation does not count if the peer has refused a newer version that
+// this entry may be able to use, or if it does not tell.
+func (s *Syncer) confirmedBy(d *peerpb.DocumentInfo, sent time.Time) time.Time {
+	if d.ConfirmedAgeMs == nil || d.Refused == nil || d.GetRefused() != 0 && d.GetRefused() != s.confirmations.refusedVersion(d.Key) {
 		return time.Time{}
 	}
 	return sent.Add(-time.Duration(d.GetConfirmedAgeMs()) * time.Millisecond)
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/balsamstall/balsamstall/coordination/membership"
 	"github.com/balsamstall/balsamstall/coordination/revision"
 	"github.com/balsamstall/balsamstall/protocol/ids"
@@ -78,10 +80,10 @@
 	}
 	for _, key := range s.cfg.Keys {
 		// Read before the version, which it would not cover if that was replaced in between.
-		confirmed := s.confirmedAge(key, now)
+		confirmed, refused := s.confirmedAge(key, now), s.confirmations.refusedVersion(key)
 		if c := s.store.Claim(key); !c.Version.IsZero() {
 			m.Documents = append(m.Documents, &peerpb.DocumentInfo{Key: key, Era: c.Version.Era, Revision: c.Version.Revision, Digest: c.Version.Digest[:], Settled: c.Settled,
-				ConfirmedAgeMs: confirmed})
+				ConfirmedAgeMs: confirmed, Refused: proto.Uint64(refused)})
 		}
 	}
 	if !includeMembers {
@@ -210,13 +212,13 @@
 	switch decision := revision.DecideClaim(s.store.Claim(d.Key), claim, true); decision {
 	case revision.Accept:
 		if sender.Address != "" && !s.refusals.has(refusal{key: d.Key, version: claim.Version, faulty: true}) {
-			queue.add(offer{entry: sender.ID, address: sender.Address, claim: claim, confirmedAt: confirmedBy(d, sent)})
+			queue.add(offer{entry: sender.ID, address: sender.Address, claim: claim, confirmedAt: s.confirmedBy(d, sent)})
 		}
 	case revision.Unchanged, revision.TooOld:
 		if claim.Settled && decision == revision.Unchanged {
 			s.store.Settle(d.Key, claim.Version)
 		}
-		s.confirmations.record(d.Key, confirmedBy(d, sent), peerActor(sender.ID))
+		s.confirmations.record(d.Key, s.confirmedBy(d, sent), peerActor(sender.ID))
 	case revision.Conflict:
 		s.recordConflict(d.Key, claim.Version, peerActor(sender.ID))
 	}
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -158,15 +158,19 @@
 		err = doc.Fault
 	}
 	if err != nil {
-		s.refuseData(r.key, doc.Value, platformActor, err)
+		version := s.refuseData(r.key, doc.Value, platformActor, err)
+		s.confirmations.refuse(r.key, version)
 		return
 	}
 	version := versionOf(content)
 	if doc.Fault != nil {
 		s.reportLeftOut(r.key, version, doc.Fault)
 	}
-	if s.accept(r.key, content, origin{actor: platformActor, readAt: doc.ReadAt, settled: s.canSettle(r.key)}) == revision.Accept {
+	switch s.accept(r.key, content, origin{actor: platformActor, readAt: doc.ReadAt, settled: s.canSettle(r.key)}) {
+	case revision.Accept:
 		r.compared = version
+	case revision.Faulty:
+		s.confirmations.refuse(r.key, version)
 	}
 }
 
--- a/internal/configsync/refused_test.go
+++ b/internal/configsync/refused_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/balsamstall/balsamstall/coordination/membership"
+	"github.com/balsamstall/balsamstall/protocol/peerpb"
 	"github.com/balsamstall/balsamstall/protocol/platformapi"
 	"github.com/balsamstall/balsamstall/protocol/status"
 )
@@ -44,6 +47,47 @@
 	return s, refused
 }
 
+// sheetInfo returns what an entry tells its peers about its sheet.
+func sheetInfo(s *Syncer) *peerpb.DocumentInfo {
+	for _, d := range s.message(false, false).Documents {
+		if d.Key == platformapi.SheetKey {
+			return d
+		}
+	}
+	return nil
+}
+
+// Guards against entries that wait for a refusing peer instead of reading a version that they can use.
+func TestRefusalOfAVersionDoesNotConfirmTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	invalid := platformapi.Document{Version: 2, Value: []byte(sheetJSON(9, "faulty"))}
+	refusing, _ := readSheet(t, "a", invalid)
+	info := sheetInfo(refusing)
+	is.Equal(info.Revision, uint64(8))
+	is.True(info.Refused != nil && *info.Refused != 0)
+	confirms := func(s *Syncer, info *peerpb.DocumentInfo) bool {
+		s.confirmations.forget()
+		s.handleDocumentInfo(membership.Entry{ID: "peer"}, info, time.Now())
+		return !s.ConfirmedAt(platformapi.SheetKey).IsZero()
+	}
+	behind, _ := readSheet(t, "b", platformapi.Document{Version: 1, Value: []byte(sheetJSON(8, "good"))})
+	accepted := sheetInfo(behind)
+	is.True(!confirms(behind, info))
+	alsoRefusing, _ := readSheet(t, "c", invalid)
+	is.True(confirms(alsoRefusing, info))
+	is.True(confirms(behind, accepted))
+
+	earlier := proto.Clone(accepted).(*peerpb.DocumentInfo)
+	earlier.Refused = nil // An earlier build does not tell.
+	is.True(!confirms(behind, earlier))
+
+	later, _ := readSheet(t, "d", invalid)
+	for _, date := range []string{"faulty", "good"} {
+		later.acceptRead(&platformReader{key: platformapi.SheetKey}, platformapi.Document{Version: 3, Value: []byte(sheetJSON(10, date))})
+		is.Equal(*sheetInfo(later).Refused != 0, date == "faulty")
+	}
+}
+
 // Guards against a document that no entry can use and that counts as an outage of the platform, and against
 // one that is not reported or is reported again at every read.
 func TestUnusableDocumentIsReportedOnce(t *testing.T) {
@@ -60,6 +104,7 @@
 			s, refused := readSheet(t, "a", c.doc)
 			is.Equal(s.Current().Sheet.Revision, c.revision)
 			is.Equal(refused[platformapi.SheetKey], 1)
+			is.Equal(*sheetInfo(s).Refused != 0, c.revision == 8)
 		})
 	}
 }
