--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -1,5 +1,6 @@
-// Package restore decides which targets may be used after the platform's store was restored from a
-// backup. The list of a restored store is older than the one before: targets that have started since
+// Package restore decides which targets may be used after the platform's store was away or was restored from a
+// backup. During an outage the registrations of live targets may expire; they return shortly after it. The list
+// of a restored store is older than the one before: targets that have started since
 // the backup are missing until they register again, and targets that have left are listed until their
 // registrations expire.
 //
@@ -8,6 +9,7 @@
 package restore
 
 import (
+	"math"
 	"time"
 
 	"github.com/balsamstall/balsamstall/coordination/notice"
@@ -16,8 +18,8 @@
 
 // Settings are the settings of a Reconciler.
 type Settings struct {
-	// Settle is the time after the first list of an era for which the targets missing from it are
-	// kept. It covers the time within which live targets register again.
+	// Settle is the time after an outage, or after the first list of an era, for which the targets missing
+	// since then are kept. It covers the time within which live targets register again.
 	Settle time.Duration
 	// Hold is the time after the first list of an era for which a target that had left before gets no
 	// new work. It covers the time after which the registration of a silent target expires.
@@ -42,6 +44,8 @@
 	departures map[notice.Target]departure
 	// kept holds the targets that are missing from the lists of the current era, by id.
 	kept map[string]keptTarget
+	// lastOutage is the time at which the last known outage of the platform ended, or NoOutage.
+	lastOutage time.Duration
 }
 
 type departure struct {
@@ -53,25 +57,35 @@
 type keptTarget struct {
 	target targetlist.Target
 	until  time.Duration
+	// expired is set if the target is missing after an outage, and not because of a restore.
+	expired bool
 }
 
+// NoOutage stands for the end of an outage if none is known.
+const NoOutage = time.Duration(math.MinInt64 / 2)
+
 // Result is the result of applying a list.
 type Result struct {
 	// Targets is the list to use. It is the given list if that needs no correction.
 	Targets *targetlist.Document
 	// Departed lists the listed targets that had left before the restore.
 	Departed []notice.Report
-	// Kept is the number of targets in Targets that the given list lacks.
-	Kept int
+	// Kept is the number of targets in Targets that the given list lacks, and Expired the number of those that
+	// are missing after an outage.
+	Kept, Expired int
 	// NextCheck is the time at which the list must be applied again, or zero if not needed.
 	NextCheck time.Duration
 }
 
 // New returns a Reconciler that has seen no list.
 func New(settings Settings) *Reconciler {
-	return &Reconciler{settings: settings, departures: make(map[notice.Target]departure), kept: make(map[string]keptTarget)}
+	return &Reconciler{settings: settings, departures: make(map[notice.Target]departure), kept: make(map[string]keptTarget), lastOutage: NoOutage}
 }
 
+// SetLastOutage sets the time at which the last known outage of the platform ended, or NoOutage. The current list
+// must be applied again if that is earlier than before.
+func (r *Reconciler) SetLastOutage(end time.Duration) { r.lastOutage = end }
+
 // Apply returns the list to use in place of the given one, which is the newest that the platform
 // published. The given list is not modified.
 func (r *Reconciler) Apply(now time.Duration, list *targetlist.Document) Result {
@@ -84,6 +98,7 @@
 	if r.listed != nil && list.Era > r.era {
 		result.Departed = r.beginEra(now, given)
 	} else {
+		r.keepExpired(now, given)
 		r.recordDepartures(now, given)
 	}
 	r.era = list.Era
@@ -94,6 +109,9 @@
 	}
 	result.Targets, result.Kept = r.merge(list), len(r.kept)
 	for id, k := range r.kept {
+		if k.expired {
+			result.Expired++
+		}
 		given[id] = k.target
 		if result.NextCheck == 0 || k.until < result.NextCheck {
 			result.NextCheck = k.until
@@ -111,11 +129,27 @@
 	}
 }
 
+// keepExpired starts to keep the targets that a list of the same era no longer has, while those whose
+// registrations expired in the last outage may be missing.
+func (r *Reconciler) keepExpired(now time.Duration, given map[string]targetlist.Target) {
+	until := r.lastOutage + r.settings.Settle
+	if now >= until {
+		return
+	}
+	for id, t := range r.listed {
+		if _, ok := given[id]; !ok && !t.Leaving {
+			if _, kept := r.kept[id]; !kept {
+				r.kept[id] = keptTarget{target: t, until: until, expired: true}
+			}
+		}
+	}
+}
+
 // recordDepartures remembers the targets that a list of the same era no longer has.
 func (r *Reconciler) recordDepartures(now time.Duration, given map[string]targetlist.Target) {
 	for id, t := range r.listed {
 		if _, kept := r.kept[id]; kept {
-			continue // It was never listed in this era; updateKept ends its time.
+			continue // updateKept ends its time.
 		}
 		if later, ok := given[id]; !ok || later.Started != t.Started {
 			r.recordDeparture(now, t)
@@ -177,14 +211,27 @@
 	return a.Started > 0 && b.Started > 0 && a.Started < b.Started
 }
 
-// updateKept drops the kept targets that are listed again and those whose time has ended.
+// updateKept drops the kept targets that are listed again, those whose time has ended, and expired
+// ones whose address another target has.
 func (r *Reconciler) updateKept(now time.Duration, given map[string]targetlist.Target) {
+	if len(r.kept) == 0 {
+		return
+	}
+	addresses := make(map[string]string, len(given))
+	for id, t := range given {
+		addresses[t.Address] = id
+	}
 	for id, k := range r.kept {
+		if k.expired { // What is known of the outage may have changed.
+			k.until = r.lastOutage + r.settings.Settle
+			r.kept[id] = k
+		}
 		listed, ok := given[id]
+		other, taken := addresses[k.target.Address]
 		switch {
 		case ok && !isEarlier(listed, k.target):
 			delete(r.kept, id)
-		case now >= k.until:
+		case now >= k.until, k.expired && taken && other != id:
 			delete(r.kept, id)
 			r.recordDeparture(now, k.target)
 		}
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -85,11 +85,9 @@
 	// Confirm decides when an entry that is not a watcher reads the platform because its documents have not
 	// been confirmed recently. The zero value means never.
 	Confirm confirm.Settings
-	// SettleKey is a document whose items may expire at the platform during an outage and return
-	// shortly after it. After an outage longer than SettleOutage the document is accepted only
-	// SettleTime after the platform recovers. Empty means none.
-	SettleKey                string
-	SettleOutage, SettleTime time.Duration
+	// OutageGap is the time without an answer of the platform to any entry that counts as an outage. It must
+	// exceed the time between two answers to a watcher. Zero means that outages do not matter.
+	OutageGap time.Duration
 	// CallTimeout limits a call to a peer. The default is 1 s.
 	CallTimeout time.Duration
 	// StartupTimeout limits Refresh, with which a starting entry asks its peers for documents
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -58,6 +58,7 @@
 		facts = s.deps.Facts.Collect()
 	}
 	now := time.Now()
+	available := s.availability.message(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	self := s.table.Self()
@@ -77,6 +78,8 @@
 		Successions: sampleFacts(s.rng, facts.Successions),
 		Failing:     sampleFacts(s.rng, facts.Failing),
 		RateLimits:  sampleFacts(s.rng, facts.RateLimits),
+
+		Availability: available,
 	}
 	for _, key := range s.cfg.Keys {
 		// Read before the version, which it would not cover if that was replaced in between.
@@ -126,6 +129,7 @@
 	GetUptimeMs() int64
 	GetCapacity() uint32
 	GetDetached() bool
+	GetAvailability() *peerpb.Availability
 	GetDocuments() []*peerpb.DocumentInfo
 	GetMembers() []*peerpb.Member
 	GetQuarantines() []*peerpb.Quarantine
@@ -162,6 +166,7 @@
 		s.table.RecordAlive(now, now.Add(-age), entryFrom(member))
 	}
 	s.mu.Unlock()
+	s.learnAvailability(m.GetAvailability(), sent, now)
 	for _, d := range m.GetDocuments() {
 		s.handleDocumentInfo(sender, d, sent)
 	}
@@ -235,7 +240,7 @@
 	m := s.message(!push, bootstrap)
 	return &peerpb.ExchangeReply{Entry: m.Entry, Incarnation: m.Incarnation, Zone: m.Zone, Draining: m.Draining,
 		Documents: m.Documents, Quarantines: m.Quarantines, Crashes: m.Crashes, Leaving: m.Leaving,
-		Successions: m.Successions, Failing: m.Failing, RateLimits: m.RateLimits, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Capacity: m.Capacity, Detached: m.Detached, Address: m.Address, Members: m.Members}, nil
+		Successions: m.Successions, Failing: m.Failing, RateLimits: m.RateLimits, CutOff: m.CutOff, UptimeMs: m.UptimeMs, Capacity: m.Capacity, Detached: m.Detached, Address: m.Address, Members: m.Members, Availability: m.Availability}, nil
 }
 
 // exchange sends this entry's state to a peer and processes the state that the peer returns. It
@@ -345,6 +350,7 @@
 	defer cancel()
 	// After a pause the ages of the confirmations are unknown.
 	s.confirmations.forget()
+	s.availability.forget()
 	s.mu.Lock()
 	peers := s.table.FanoutPeers(time.Now(), s.rng, refreshPeers)
 	s.mu.Unlock()
--- a/internal/configsync/platform.go
+++ b/internal/configsync/platform.go
@@ -124,13 +124,11 @@
 	default:
 		doc, changed, err = s.deps.Platform.Watch(ctx, r.key, r.lastVersion, 0)
 	}
-	confirmed := confirmedAt(doc, changed, began, wait)
-	if err == nil && r.key == s.cfg.SettleKey && (s.exceedsSettleOutage(r) || changed && s.registrationsExpired(doc)) {
-		doc, changed, err = s.settle(ctx, r, doc, changed)
-	}
 	if err != nil {
 		return false, err
 	}
+	confirmed := confirmedAt(doc, changed, began, wait)
+	s.recordAvailable(r, confirmed)
 	defer func() {
 		s.correctTargets(r)
 		s.confirmations.record(r.key, confirmed, platformActor)
@@ -174,6 +172,14 @@
 	}
 }
 
+// outageDuration returns the duration of the outage that this entry has seen, or zero if none.
+func outageDuration(r *platformReader) time.Duration {
+	if r.failingSince.IsZero() {
+		return 0
+	}
+	return time.Since(r.failingSince)
+}
+
 // waitBackoff reports a failed call and waits for its backoff. After an overdue read it only schedules the next
 // one, because a peer may confirm the document before.
 func (s *Syncer) waitBackoff(ctx context.Context, r *platformReader, err error, overdue bool) {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -37,6 +37,7 @@
 	refusals      refusals
 	transfers     transferCache
 	confirmations confirmations
+	availability  availability
 	// offers holds one queue for each key of Config.Keys.
 	offers map[string]*offerQueue
 	// snapshots is the platform if it can settle target lists, or nil.
--- a/internal/entry/relaydaemon.go
+++ b/internal/entry/relaydaemon.go
@@ -52,12 +52,9 @@
 	// the platform rejects.
 	relayYieldAfter = 300 * time.Millisecond
 	relayYieldFor   = 4 * time.Second
-	// relaySettleOutage is the outage after which targets may have expired. It is shorter than
+	// relayOutageGap is the outage after which targets may have expired. It is shorter than
 	// three heartbeats of 1.2 s, after which the platform removes a silent target.
-	relaySettleOutage = 3 * time.Second
-	// relaySettleTime is the wait after such an outage. It covers the 2 s within which expired
-	// targets are listed again.
-	relaySettleTime = 2200 * time.Millisecond
+	relayOutageGap = 3 * time.Second
 	// relayPollInterval is the interval at which entries that do not watch the platform read it.
 	// They get changes from their peers.
 	relayPollInterval = 10 * time.Minute
@@ -158,6 +155,7 @@
 		log:        d.log,
 		report:     func(r notice.Report) { d.core.MergeLeavingReport(platformActor, r) },
 		recheck:    d.onChange,
+		available:  func() time.Time { return d.syncer.AvailableSince() },
 		reconciler: restore.New(restore.DefaultSettings()),
 	}
 	d.wireSync(deps.Documents)
@@ -190,9 +188,7 @@
 		YieldAfter:        relayYieldAfter,
 		YieldFor:          relayYieldFor,
 		Confirm:           confirmSettings(set),
-		SettleKey:         platformapi.TargetsKey,
-		SettleOutage:      relaySettleOutage,
-		SettleTime:        relaySettleTime,
+		OutageGap:         relayOutageGap,
 	}, configsync.Deps{
 		Platform:      documents,
 		Peers:         d.pool,
