--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -116,8 +116,12 @@
 			return platformapi.Document{ConfirmedAt: confirmed}, false, nil
 		}
 		// Each call waits for the full duration, so that the watches of all documents stay
-		// coalesced.
-		if err := f.coalesce("watch", func() error { return f.awaitChanges(ctx, wait) }); err != nil {
+		// coalesced. A call that does not wait never joins one that does.
+		name := "watch"
+		if wait <= 0 {
+			name = "poll"
+		}
+		if err := f.coalesce(name, func() error { return f.awaitChanges(ctx, wait) }); err != nil {
 			return platformapi.Document{}, false, err
 		}
 		called = true
@@ -277,7 +281,9 @@
 	if outdated {
 		return f.load(ctx)
 	}
-	sleep(ctx, pause)
+	if wait > 0 {
+		sleep(ctx, pause)
+	}
 	requested := f.now()
 	changes, err := f.source.Watch(ctx, at, wait)
 	f.recordEra(changes.Era)
