--- a/transport/targethttp/client_test.go
+++ b/transport/targethttp/client_test.go
@@ -149,6 +149,23 @@
 	is.Equal(status.From(err).Outcome, status.NotRun)
 }
 
+// Guards against an attempt that is sent although its target was removed while it obtained its connection.
+func TestAttemptIsNotSentToATargetRemovedMeanwhile(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	client, _ := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		received.Add(1)
+		echo(w, r)
+	}, 1)
+	_, err := client.Search(t.Context(), "target-1", testRequest(1), Options{MaySend: func(string) error {
+		client.Configure(nil, nil)
+		return nil
+	}})
+	is.True(err != nil)
+	is.Equal(status.From(err).Outcome, status.NotRun)
+	is.Equal(received.Load(), int64(0))
+}
+
 // Guards against more connections than this entry's share, and against a waiter that is never
 // woken.
 func TestConnectionsStayWithinShare(t *testing.T) {
--- a/transport/targethttp/pool.go
+++ b/transport/targethttp/pool.go
@@ -76,8 +76,9 @@
 	return c, err
 }
 
-// acquireForAttempt acquires a connection and then asks opt.MaySend whether to use it. An attempt whose
-// ctx has ended meanwhile is not sent: its outcome would be unknown for nothing.
+// acquireForAttempt acquires a connection and then asks opt.MaySend whether to use it. It is not used if the target
+// was removed while it was opened. An attempt whose ctx has ended meanwhile is not sent: its outcome would be
+// unknown for nothing.
 func (p *pool) acquireForAttempt(ctx context.Context, target string, opt Options) (*conn, error) {
 	c, err := p.acquire(ctx, opt.FreshConnection)
 	if err != nil {
@@ -86,6 +87,9 @@
 	if opt.MaySend != nil {
 		err = opt.MaySend(target)
 	}
+	if err == nil && p.isClosed() {
+		err = p.removedError()
+	}
 	if err == nil && ctx.Err() != nil {
 		err = contextError(ctx, status.NotRun, "nothing was sent to target "+p.address)
 	}
@@ -102,7 +106,7 @@
 		p.mu.Lock()
 		if p.closed {
 			p.mu.Unlock()
-			return nil, status.New(status.ConnectionFailed, status.NotRun, "target %s was removed", p.address)
+			return nil, p.removedError()
 		}
 		if !fresh && len(p.idle) > 0 {
 			c := p.idle[len(p.idle)-1]
@@ -364,6 +368,17 @@
 	return p.open
 }
 
+// isClosed reports whether the target was removed.
+func (p *pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+func (p *pool) removedError() error {
+	return status.New(status.ConnectionFailed, status.NotRun, "target %s was removed", p.address)
+}
+
 // close closes the idle connections. Busy ones are closed when they are released.
 func (p *pool) close() {
 	p.mu.Lock()
