--- a/coordination/restore/restore.go
+++ b/coordination/restore/restore.go
@@ -1,8 +1,7 @@
 // Package restore decides which targets may be used after the platform's store was away or was restored from a
 // backup. During an outage the registrations of live targets may expire; they return shortly after it. The list
-// of a restored store is older than the one before: targets that have started since
-// the backup are missing until they register again, and targets that have left are listed until their
-// registrations expire.
+// of a restored store is older than the one before: targets that have started since the backup are missing until
+// they register again, and targets that have left are listed until their registrations expire.
 //
 // The package has no side effects: it takes the time, on the monotonic clock of the process, as an
 // argument. A Reconciler is not safe for concurrent use.
--- a/protocol/targetlist/targetlist.go
+++ b/protocol/targetlist/targetlist.go
@@ -52,24 +52,6 @@
 	Cold bool `json:"cold,omitempty"`
 }
 
-// CountRemoved returns the number of targets in d that are not leaving, as total, and how many of
-// them are missing from later, as removed.
-func (d *Document) CountRemoved(later *Document) (removed, total int) {
-	have := make(map[string]bool, len(later.Targets))
-	for i := range later.Targets {
-		have[later.Targets[i].ID] = true
-	}
-	for i := range d.Targets {
-		if t := &d.Targets[i]; !t.Leaving {
-			total++
-			if !have[t.ID] {
-				removed++
-			}
-		}
-	}
-	return removed, total
-}
-
 // CountReturned returns the number of targets that are leaving in d and not leaving in later. A target does
 // not stop leaving before it starts again. Both lists must be sorted by ID; others may be counted too low.
 func (d *Document) CountReturned(later *Document) int {
