--- a/internal/configsync/availability.go
+++ b/internal/configsync/availability.go
@@ -37,7 +37,6 @@
 	return a.span.Since
 }
 
-// forget makes the period unknown.
 func (a *availability) forget() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -58,7 +58,6 @@
 		facts = s.deps.Facts.Collect()
 	}
 	now := time.Now()
-	available := s.availability.message(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	self := s.table.Self()
@@ -78,9 +77,8 @@
 		Successions: sampleFacts(s.rng, facts.Successions),
 		Failing:     sampleFacts(s.rng, facts.Failing),
 		RateLimits:  sampleFacts(s.rng, facts.RateLimits),
-
-		Availability: available,
 	}
+	m.Availability = s.availability.message(now)
 	for _, key := range s.cfg.Keys {
 		// Read before the version, which it would not cover if that was replaced in between.
 		confirmed, refused := s.confirmedAge(key, now), s.confirmations.refusedVersion(key)
